--- /dev/null
+++ b/celeryrelay/__init__.py
@@ -0,0 +1,1 @@
+"""Database proxy with session consistency."""
--- /dev/null
+++ b/celeryrelay/accounting/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered outcome batches and reports."""
--- /dev/null
+++ b/celeryrelay/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Network, log and metrics adapters."""
--- /dev/null
+++ b/celeryrelay/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queueing by rank, limits and retry budgets."""
--- /dev/null
+++ b/celeryrelay/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon settings and operators' objects."""
--- /dev/null
+++ b/celeryrelay/conf/loader.py
@@ -0,0 +1,63 @@
+"""Loading of JSON files with comments."""
+
+import pathlib
+import typing
+
+import json5
+import pydantic
+import result
+
+from celeryrelay.conf import settings
+
+
+def read_file(path: str) -> result.Result[typing.Any, str]:
+    """Return the parsed content of the JSON5 file at `path`."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err('{0}: cannot be read: {1}'.format(path, error))
+    try:
+        return result.Ok(json5.loads(text))
+    except (ValueError, RecursionError) as error:
+        return result.Err('{0}: is not JSON5: {1}'.format(path, error))
+
+
+def load_settings(path: str) -> result.Result[settings.Settings, str]:
+    """Return the daemon settings of the file at `path`.
+
+    The error text has one line per wrong key, with the file, the key, the
+    given value and what is allowed.
+    """
+    match read_file(path):
+        case result.Ok(raw):
+            return _validate(path, raw)
+        case result.Err(message):
+            return result.Err(message)
+
+
+def describe(problem: typing.Mapping[str, typing.Any]) -> str:
+    """Return key, given value and what is allowed for a pydantic error."""
+    key = '.'.join(str(part) for part in problem['loc']) or '(top level)'
+    if problem['type'] == 'missing':
+        return '{0}: is required'.format(key)
+    if problem['type'] == 'extra_forbidden':
+        return '{0}: unknown key, given {1!r}'.format(key, problem['input'])
+    return '{0}: given {1!r}; {2}'.format(
+        key,
+        problem['input'],
+        problem['msg'],
+    )
+
+
+def _validate(
+    path: str,
+    raw: typing.Any,
+) -> result.Result[settings.Settings, str]:
+    try:
+        return result.Ok(settings.Settings.model_validate(raw))
+    except pydantic.ValidationError as error:
+        lines = (
+            '{0}: {1}'.format(path, describe(problem))
+            for problem in error.errors()
+        )
+        return result.Err('\n'.join(lines))
--- /dev/null
+++ b/celeryrelay/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Publication and revisions of the object set."""
--- /dev/null
+++ b/celeryrelay/core/__init__.py
@@ -0,0 +1,1 @@
+"""Values shared by all parts."""
--- /dev/null
+++ b/celeryrelay/core/ranks.py
@@ -0,0 +1,14 @@
+"""Ranks of work, most urgent first."""
+
+import enum
+
+
+class Rank(enum.StrEnum):
+    """Rank of a statement."""
+
+    bookings = 'bookings'
+    checks = 'checks'
+    reports = 'reports'
+
+
+URGENCY = tuple(Rank)
--- /dev/null
+++ b/celeryrelay/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the entry daemon."""
--- /dev/null
+++ b/celeryrelay/management/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for operators."""
--- /dev/null
+++ b/celeryrelay/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/celeryrelay/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live instances and the roles derived from them."""
--- /dev/null
+++ b/celeryrelay/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Statement classification, routes and holders."""
--- /dev/null
+++ b/celeryrelay/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Session tokens, read bounds and replica staleness."""
--- /dev/null
+++ b/celeryrelay/terms/__init__.py
@@ -0,0 +1,1 @@
+"""Terms, write acknowledgement and failover decisions."""
--- /dev/null
+++ b/celeryrelay/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Event logs of all processes and their merge."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around celeryrelay, for tests and the demo."""
--- /dev/null
+++ b/standins/database/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a database slot, backed by SQLite."""
--- /dev/null
+++ b/standins/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a whole set of processes on one machine."""
--- /dev/null
+++ b/standins/faultproxy/__init__.py
@@ -0,0 +1,1 @@
+"""TCP proxy that injects network faults."""
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,11 @@
+"""Guards against an import cycle or a package that needs another's adapter."""
+
+import importlib
+import pkgutil
+
+import celeryrelay
+
+
+def test_every_module_can_be_imported():
+    for module in pkgutil.walk_packages(celeryrelay.__path__, 'celeryrelay.'):
+        importlib.import_module(module.name)
