--- /dev/null
+++ b/celeryrelay/terms/raising.py
@@ -0,0 +1,201 @@
+"""Calls to the slots of a group during one term of a failover."""
+
+from collections import abc
+
+from celeryrelay.conf import settings
+from celeryrelay.terms import guard, messages
+
+RETRY_S = 0.1
+
+# A slot that answered a raise but not its promotion may have died between the
+# two; another term has to be closed before another slot can be promoted.
+PROMOTE_ATTEMPTS = 3
+
+
+class Retries:
+    """Slots that are called again after a failed call."""
+
+    def __init__(self, slots: abc.Iterable[str]) -> None:
+        """Start with all slots unanswered and none due."""
+        self.unanswered = list(slots)
+        self._retry_at: dict[str, float] = {}
+
+    def answered(self, slot: str) -> None:
+        """Record that the slot answered."""
+        self._retry_at.pop(slot, None)
+        if slot in self.unanswered:
+            self.unanswered.remove(slot)
+
+    def failed(self, slot: str, now: float) -> None:
+        """Record that the slot gave no answer."""
+        if slot in self.unanswered:
+            self._retry_at[slot] = now + RETRY_S
+
+    def due(self, now: float) -> list[str]:
+        """Return the slots to call again."""
+        due = [slot for slot, at in self._retry_at.items() if at <= now]
+        for slot in due:
+            self._retry_at.pop(slot)
+        return due
+
+
+class RaiseRound:
+    """Raises of all slots to one term, and the wait after closing."""
+
+    def __init__(
+        self,
+        term: int,
+        old_primary: str,
+        slots: abc.Sequence[str],
+        closed_at: float,
+    ) -> None:
+        """Start with no slot raised.
+
+        Args:
+            term: The closed term.
+            old_primary: Primary of the last open term.
+            slots: Names of all slots of the group.
+            closed_at: Monotonic time in seconds of the answer to the closing
+                swap.
+        """
+        self.term = term
+        self.quorum_at: float | None = None
+        self._old_primary = old_primary
+        self._closed_at = closed_at
+        self._quorum = guard.promote_count(len(slots))
+        self._raised: dict[str, messages.RaiseAnswered] = {}
+        self._retries = Retries(slots)
+
+    def first_commands(self) -> list[messages.Command]:
+        """Return the raises of all slots."""
+        return [
+            messages.RaiseTerm(slot, self.term)
+            for slot in self._retries.unanswered
+        ]
+
+    def handle(
+        self,
+        event: messages.Event,
+        now: float,
+    ) -> list[messages.Command]:
+        """Take in an answer or a tick and return raises to repeat."""
+        match event:
+            case messages.RaiseAnswered(slot, self.term):
+                self._retries.answered(slot)
+                self._raised[slot] = event
+                self._mark_quorum(now)
+            case messages.RaiseFailed(slot, self.term):
+                self._retries.failed(slot, now)
+        return [
+            messages.RaiseTerm(slot, self.term)
+            for slot in self._retries.due(now)
+        ]
+
+    def is_complete(self, config: settings.TermSettings, now: float) -> bool:
+        """Return whether a slot may be promoted.
+
+        The waits end early when the old primary itself was raised: it refuses
+        writes from then on, and all it has committed is in the log of the
+        slot that gets promoted.
+        """
+        if self.quorum_at is None:
+            return False
+        if self._old_primary in self._raised:
+            return True
+        # Window acknowledgements rest on readings sent before the answer to
+        # the closing swap, slot confirmations on requests that reached one of
+        # the necessary slots before its raise.
+        return now >= self._closed_at + guard.window_wait_s(
+            config
+        ) and now >= self.quorum_at + guard.confirm_wait_s(config)
+
+    def most_advanced(self) -> str:
+        """Return the raised slot with the highest log position.
+
+        Among equals a slot other than the old primary is taken, because that
+        one failed its probes.
+        """
+        best = max(self._raised.values(), key=self._order)
+        return best.slot
+
+    def _order(
+        self,
+        answer: messages.RaiseAnswered,
+    ) -> tuple[int, int, bool]:
+        is_other = answer.slot != self._old_primary
+        return answer.log_term, answer.applied, is_other
+
+    def _mark_quorum(self, now: float) -> None:
+        if self.quorum_at is None and len(self._raised) >= self._quorum:
+            self.quorum_at = now
+
+
+class Promotion:
+    """Promotion of one slot."""
+
+    def __init__(self, slot: str, term: int) -> None:
+        """Start with no failed attempt."""
+        self.slot = slot
+        self._term = term
+        self._failures = 0
+        self._retries = Retries((slot,))
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Return whether the slot has failed too often."""
+        return self._failures >= PROMOTE_ATTEMPTS
+
+    def command(self) -> messages.PromoteSlot:
+        """Return the command that promotes the slot."""
+        return messages.PromoteSlot(self.slot, self._term)
+
+    def handle(
+        self,
+        event: messages.Event,
+        now: float,
+    ) -> list[messages.Command]:
+        """Take in a failure or a tick and return the promotion to repeat."""
+        if event == messages.PromoteFailed(self.slot, self._term):
+            self._failures += 1
+            self._retries.failed(self.slot, now)
+        return [self.command() for _ in self._retries.due(now)]
+
+
+class FollowRound:
+    """Requests to all other slots to follow the new primary."""
+
+    def __init__(
+        self,
+        term: int,
+        primary: str,
+        slots: abc.Iterable[str],
+    ) -> None:
+        """Start with no slot following."""
+        self._term = term
+        self._primary = primary
+        self._retries = Retries(slot for slot in slots if slot != primary)
+
+    @property
+    def unfollowed(self) -> tuple[str, ...]:
+        """Return the slots that haven't answered that they follow."""
+        return tuple(self._retries.unanswered)
+
+    def first_commands(self) -> list[messages.Command]:
+        """Return the requests to all other slots."""
+        return [self._command(slot) for slot in self._retries.unanswered]
+
+    def handle(
+        self,
+        event: messages.Event,
+        now: float,
+    ) -> list[messages.Command]:
+        """Take in an answer or a tick and return requests to repeat."""
+        match event:
+            case messages.FollowAnswered(slot, self._term):
+                self._retries.answered(slot)
+            case messages.FollowFailed(slot, self._term):
+                self._retries.failed(slot, now)
+        return [self._command(slot) for slot in self._retries.due(now)]
+
+    def _command(self, slot: str) -> messages.Command:
+        return messages.FollowPrimary(slot, self._term, self._primary)
