--- /dev/null
+++ b/celeryrelay/routing/lexing.py
@@ -0,0 +1,137 @@
+"""Lexical preparation of statements.
+
+Comments and literals are replaced before a statement is parsed. The parser's
+lexical rules differ from the server's (`--1`, nested comments, executable
+comments), so it never sees text in which they could matter.
+"""
+
+import dataclasses
+import re
+
+_HINT = re.compile(
+    r'/\*\s*celeryrelay:request=([\w.:\-]{1,64})\s*\*/',
+    re.ASCII,
+)
+_LEADING_HINT = re.compile(r'\s*{0}\s*'.format(_HINT.pattern), re.ASCII)
+_TRAILING_HINT = re.compile(r'{0}[\s;]*\Z'.format(_HINT.pattern), re.ASCII)
+# Longest trailing hint that is looked for, in characters.
+_HINT_WINDOW = 128
+_TOKEN = re.compile(
+    r"""
+    (?P<interval>\binterval\s+(?:'[^'\\]*'|"[^"\\]*"))
+    |(?P<binary>\b[xb]'[0-9a-f]*')
+    |(?P<string>'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*")
+    |(?P<quoted>`(?:[^`]|``)+`)
+    |(?P<executable>/\*M?!.*?\*/)
+    |(?P<optimizer>/\*\+.*?\*/)
+    |(?P<comment>/\*.*?\*/|\#[^\n]*|--(?=[\s\x00-\x1f]|\Z)[^\n]*)
+    |(?P<minus>--)
+    |(?P<broken>/\*|['"`])
+    |(?P<number>(?<![\w$@.])\d+(?![\w$.]))
+    """,
+    re.VERBOSE | re.DOTALL | re.IGNORECASE,
+)
+_COMMENT_KINDS = frozenset(('comment', 'optimizer'))
+_REPLACEMENTS = {
+    # A valid JSON path, because the parser checks the path of `a->'$.b'`.
+    'string': "'$'",
+    'binary': '0',
+    'interval': "INTERVAL '0'",
+    'comment': ' ',
+    'optimizer': ' ',
+    'minus': '- -',
+    'number': '0',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scan:
+    """A statement without comments and literals.
+
+    Attributes:
+        text: The statement; strings and integers are replaced by constants,
+            comments by spaces. Executable comments remain.
+        request_id: Request id of a hint, empty if there is none.
+        executable: Whether the text has a `/*! ... */` comment.
+        broken: Whether a quote or a comment is not terminated.
+    """
+
+    text: str
+    request_id: str = ''
+    executable: bool = False
+    broken: bool = False
+
+
+def split_hint(sql: str) -> tuple[str, str]:
+    """Return `sql` without a leading or trailing hint, and its request id."""
+    match = _LEADING_HINT.match(sql)
+    if match:
+        return sql[match.end() :], match.group(1)
+    start = sql.rfind('/*', max(len(sql) - _HINT_WINDOW, 0))
+    match = _TRAILING_HINT.match(sql, start) if start >= 0 else None
+    if match:
+        return sql[:start], match.group(1)
+    return sql, ''
+
+
+def scan(sql: str) -> Scan:
+    """Return `sql` with comments and literals replaced."""
+    rest, request_id = split_hint(sql)
+    found: set[str] = set()
+    request_ids = [request_id]
+
+    def replace(match: re.Match[str]) -> str:  # noqa: WPS430 (needs the sets)
+        kind = match.lastgroup or ''
+        found.add(kind)
+        hint = _HINT.fullmatch(match.group()) if kind == 'comment' else None
+        if hint:
+            request_ids.append(hint.group(1))
+        return _REPLACEMENTS.get(kind, match.group())
+
+    text = _TOKEN.sub(replace, rest)
+    return Scan(
+        text=text.strip().rstrip(';').rstrip(),
+        request_id=max(request_ids, key=bool),
+        executable='executable' in found,
+        broken='broken' in found,
+    )
+
+
+def blank_quoted(text: str) -> str:
+    """Return a scanned text with quoted names replaced by `q`."""
+    return _TOKEN.sub(
+        lambda match: 'q' if match.lastgroup == 'quoted' else match.group(),
+        text,
+    )
+
+
+def strip_comments(sql: str) -> str:
+    """Return `sql` without comments; literals are kept."""
+    return (
+        _TOKEN.sub(
+            lambda match: (
+                ' ' if match.lastgroup in _COMMENT_KINDS else match.group()
+            ),
+            sql,
+        )
+        .strip()
+        .rstrip(';')
+        .rstrip()
+    )
+
+
+def split_list(text: str) -> list[str]:
+    """Split a comment-free text at commas outside quotes and parentheses."""
+    parts = ['']
+    depth = 0
+    position = 0
+    while position < len(text):
+        quoted = _TOKEN.match(text, position)
+        piece = quoted.group() if quoted else text[position]
+        depth += (piece == '(') - (piece == ')')
+        if piece == ',' and not depth:
+            parts.append('')
+        else:
+            parts[-1] += piece
+        position += len(piece)
+    return [part.strip() for part in parts]
--- /dev/null
+++ b/celeryrelay/sessions/bounds.py
@@ -0,0 +1,69 @@
+"""Read bounds of a session and the fate of its positions."""
+
+import enum
+from collections import abc
+
+from celeryrelay.core import positions
+
+
+class Survival(enum.Enum):
+    """Whether the log entry of a position still exists.
+
+    Attributes:
+        present: Every later term started at or after the position.
+        lost: A later term started before the position, or the history is too
+            short to tell.
+        ahead: The position belongs to a term that is not known here yet.
+    """
+
+    present = 'present'
+    lost = 'lost'
+    ahead = 'ahead'
+
+
+class SessionBounds:
+    """Greatest position per group that a session has seen."""
+
+    def __init__(self) -> None:
+        """Start without bounds."""
+        self._bounds: dict[str, positions.Position] = {}
+
+    def advance(self, position: positions.Position) -> None:
+        """Raise the bound of the position's group, never lower it."""
+        known = self._bounds.get(position.group)
+        if known is None or _order(position) > _order(known):
+            self._bounds[position.group] = position
+
+    def bound(self, group: str) -> positions.Position | None:
+        """Return the bound of `group`, None if the session has none."""
+        return self._bounds.get(group)
+
+
+def survives(
+    position: positions.Position,
+    current_term: int,
+    history: abc.Sequence[positions.TermStart],
+) -> Survival:
+    """Return whether `position` survived the promotions in `history`.
+
+    The history holds the starts of the last terms, in any order, and may lack
+    the current term while that is closed. The answer is right if each term
+    started from a prefix of the log of the term before it.
+    """
+    if position.term > current_term:
+        return Survival.ahead
+    if position.term == current_term:
+        return Survival.present
+    known_terms = [start.term for start in history]
+    if not known_terms or position.term < min(known_terms):
+        return Survival.lost
+    lost = any(
+        start.base_offset < position.offset
+        for start in history
+        if start.term > position.term
+    )
+    return Survival.lost if lost else Survival.present
+
+
+def _order(position: positions.Position) -> tuple[int, int]:
+    return position.term, position.offset
--- /dev/null
+++ b/tests/sessions/test_bounds.py
@@ -0,0 +1,135 @@
+"""Guards against lowered bounds and silently satisfied lost positions."""
+
+import hypothesis
+from hypothesis import strategies
+
+from celeryrelay.core import positions
+from celeryrelay.sessions import bounds
+
+GROUP = 'rounds'
+POSITIONS = strategies.builds(
+    positions.Position,
+    group=strategies.sampled_from(['rounds', 'crews']),
+    term=strategies.integers(1, 4),
+    offset=strategies.integers(0, 9),
+)
+# Entries written in a term, entries kept by the next promotion (counted from
+# the end of the log), and how far the term number rises.
+TERMS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 4),
+        strategies.integers(0, 6),
+        strategies.integers(1, 2),
+    ),
+    min_size=1,
+    max_size=6,
+)
+SETTINGS = hypothesis.settings(derandomize=True, max_examples=400)
+
+
+class Log:
+    """A log of unique entries that promotions cut, with all past contents."""
+
+    def __init__(self):
+        self.term = 1
+        self.entries = []
+        self.starts = [positions.TermStart(1, 0)]
+        self.seen = {positions.Position(GROUP, 1, 0): ()}
+        self.written = 0
+
+    def write(self):
+        self.written += 1
+        self.entries.append(self.written)
+        self._note()
+
+    def promote(self, lost, step):
+        del self.entries[max(len(self.entries) - lost, 0) :]
+        self.term += step
+        self.starts.append(
+            positions.TermStart(self.term, len(self.entries)),
+        )
+        self._note()
+
+    def holds(self, position):
+        prefix = self.seen[position]
+        return tuple(self.entries[: len(prefix)]) == prefix
+
+    def _note(self):
+        position = positions.Position(GROUP, self.term, len(self.entries))
+        self.seen[position] = tuple(self.entries)
+
+
+def build_log(terms):
+    log = Log()
+    for writes, lost, step in terms:
+        for _ in range(writes):
+            log.write()
+        log.promote(lost, step)
+    return log
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(POSITIONS, max_size=12))
+def test_bound_is_the_greatest_position_of_the_group(seen):
+    session = bounds.SessionBounds()
+    for position in seen:
+        session.advance(position)
+    for group in ('rounds', 'crews'):
+        own = [position for position in seen if position.group == group]
+        expected = max(
+            own,
+            key=lambda position: (position.term, position.offset),
+            default=None,
+        )
+        assert session.bound(group) == expected
+
+
+@SETTINGS
+@hypothesis.given(TERMS)
+def test_survival_agrees_with_the_contents_of_the_log(terms):
+    log = build_log(terms)
+    for position in log.seen:
+        found = bounds.survives(position, log.term, log.starts)
+        assert (found is bounds.Survival.present) == log.holds(position)
+
+
+@SETTINGS
+@hypothesis.given(TERMS, strategies.integers(1, 3))
+def test_short_history_never_reports_a_lost_position_as_present(terms, kept):
+    log = build_log(terms)
+    history = log.starts[-kept:]
+    for position in log.seen:
+        found = bounds.survives(position, log.term, history)
+        if position.term < history[0].term:
+            assert found is bounds.Survival.lost
+        else:
+            assert (found is bounds.Survival.present) == log.holds(position)
+
+
+def test_order_of_the_history_does_not_matter():
+    history = [
+        positions.TermStart(3, 50),
+        positions.TermStart(1, 0),
+        positions.TermStart(2, 40),
+    ]
+    position = positions.Position(GROUP, 1, 45)
+    found = bounds.survives(position, 3, history)
+    assert found is bounds.Survival.lost
+
+
+def test_newer_term_is_ahead_and_not_lost():
+    position = positions.Position(GROUP, 5, 1)
+    history = [positions.TermStart(4, 90)]
+    found = bounds.survives(position, 4, history)
+    assert found is bounds.Survival.ahead
+
+
+def test_position_older_than_any_history_is_lost():
+    position = positions.Position(GROUP, 1, 0)
+    assert bounds.survives(position, 2, []) is bounds.Survival.lost
+
+
+def test_closed_current_term_does_not_lose_positions():
+    position = positions.Position(GROUP, 4, 120)
+    history = [positions.TermStart(3, 10), positions.TermStart(4, 90)]
+    assert bounds.survives(position, 5, history) is bounds.Survival.present
