--- a/celeryrelay/conf/sets.py
+++ b/celeryrelay/conf/sets.py
@@ -9,10 +9,19 @@
 
 
 class Durability(enum.StrEnum):
-    """When a write may be acknowledged."""
+    """When a write may be acknowledged.
+
+    Attributes:
+        local: When the primary has committed it and its term is known to be
+            open.
+        replicated: When another slot holds it as well.
+        preferred: As `replicated` while another slot answers probes, as
+            `local` while none does.
+    """
 
     local = 'local'
     replicated = 'replicated'
+    preferred = 'preferred'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
