--- /dev/null
+++ b/standins/database/command.py
@@ -0,0 +1,66 @@
+"""Program `celeryrelay-standin-database`."""
+
+import asyncio
+import logging
+import pathlib
+from collections import abc
+
+from absl import app, flags
+
+from standins import processes
+from standins.database import server, storage
+from standins.database import slot as slot_state
+
+FLAGS = flags.FLAGS
+
+flags.DEFINE_string('group', 'group', 'Name of the database group.')
+flags.DEFINE_string('slot', 'slot', 'Name of the slot.')
+flags.DEFINE_string('host', '127.0.0.1', 'Address to listen on.')
+flags.DEFINE_integer('port', 0, 'Port; 0 lets the kernel choose.')
+flags.DEFINE_integer('term', 1, 'Term at the start.')
+flags.DEFINE_enum_class(
+    'role',
+    slot_state.Role.primary,
+    slot_state.Role,
+    'Role at the start; a replica follows nobody yet.',
+)
+flags.DEFINE_string('init_sql_file', '', 'Statements that set up the tables.')
+flags.DEFINE_float('lag_ms', 0, 'Time after which a replica applies a commit.')
+flags.DEFINE_integer('connection_limit', 1000, 'Client connections allowed.')
+flags.DEFINE_float('connection_cost_ms', 0, 'Delay of the handshake.')
+flags.DEFINE_float('service_ms', 0, 'Added time for each statement.')
+flags.DEFINE_integer('service_concurrency', 4, 'Statements served at a time.')
+
+
+async def serve() -> None:
+    """Serve the slot described by the flags until SIGTERM or SIGINT."""
+    path = FLAGS.init_sql_file
+    init_sql = pathlib.Path(path).read_text(encoding='utf-8') if path else ''
+    tuning = slot_state.Tuning(
+        FLAGS.lag_ms,
+        FLAGS.connection_limit,
+        FLAGS.connection_cost_ms,
+        FLAGS.service_ms,
+        FLAGS.service_concurrency,
+    )
+    slot = slot_state.Slot(FLAGS.slot, tuning, storage.Storage(init_sql))
+    slot.enter(FLAGS.term, FLAGS.role)
+    slot_server = server.SlotServer(slot)
+    listener = await slot_server.listen(FLAGS.host, FLAGS.port)
+    port = listener.sockets[0].getsockname()[1]
+    await processes.announce({'mysql': port})
+
+
+def main(_arguments: abc.Sequence[str]) -> None:
+    """Run the program."""
+    logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
+    asyncio.run(serve())
+
+
+def run() -> None:
+    """Parse the flags and run the program."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/standins/database/dialect.py
@@ -0,0 +1,137 @@
+"""Translation of MySQL statement texts to SQLite."""
+
+import ast
+import enum
+import re
+import typing
+
+_TOKENS = re.compile(
+    r"""
+    (?P<comment>/\*.*?\*/|--\s[^\n]*|\#[^\n]*)
+    |(?P<binary>_binary\s*)?(?P<quote>['"])
+     (?P<body>(?:[^\\'"]+|\\.|(?P=quote){2}|(?!(?P=quote))['"])*)(?P=quote)
+    |(?P<identifier>`[^`]*`)
+    |(?<![\w.])0x(?P<hex>[0-9a-f]+)
+    |(?P<locking>\bFOR\s+UPDATE\b|\bLOCK\s+IN\s+SHARE\s+MODE\b)
+    |(?P<generated>\bAUTO_INCREMENT\b)
+    """,
+    re.VERBOSE | re.DOTALL | re.IGNORECASE,
+)
+_ESCAPE = re.compile(r'\\(.)', re.DOTALL)
+_ESCAPED = {
+    '0': '\0',
+    'b': '\b',
+    'n': '\n',
+    'r': '\r',
+    't': '\t',
+    'Z': '\x1a',
+    '%': r'\%',
+    '_': r'\_',
+}
+_WORD = re.compile(r'\s*\(?\s*(\w+)')
+_CALL = re.compile(r'\s*CALL\s+(\w+)\s*\((.*)\)\s*;?\s*$', re.I | re.DOTALL)
+
+
+class Kind(enum.Enum):
+    """What a statement does to the transaction and the data."""
+
+    read = enum.auto()
+    write = enum.auto()
+    begin = enum.auto()
+    commit = enum.auto()
+    rollback = enum.auto()
+    savepoint = enum.auto()
+    setting = enum.auto()
+    call = enum.auto()
+    use = enum.auto()
+
+
+_KINDS = {
+    'select': Kind.read,
+    'with': Kind.read,
+    'values': Kind.read,
+    'explain': Kind.read,
+    'begin': Kind.begin,
+    'start': Kind.begin,
+    'commit': Kind.commit,
+    'rollback': Kind.rollback,
+    'savepoint': Kind.savepoint,
+    'release': Kind.savepoint,
+    'set': Kind.setting,
+    'call': Kind.call,
+    'use': Kind.use,
+}
+
+
+def translate(sql: str) -> str:
+    """Return `sql` with literals and keywords as SQLite reads them.
+
+    Bytes that are not UTF-8 are expected as surrogate escapes.
+    """
+    return _TOKENS.sub(_translate_token, sql).strip().rstrip(';')
+
+
+def classify(sql: str) -> Kind:
+    """Return the kind of a translated statement."""
+    word = _WORD.match(sql)
+    kind = _KINDS.get(word.group(1).lower() if word else '', Kind.write)
+    if kind is Kind.rollback and re.search(r'\bTO\b', sql, re.IGNORECASE):
+        return Kind.savepoint
+    return kind
+
+
+def locks_rows(sql: str) -> bool:
+    """Return whether the MySQL text asks for row locks."""
+    return any(token.group('locking') for token in _TOKENS.finditer(sql))
+
+
+def parse_call(sql: str) -> tuple[str, tuple[typing.Any, ...]] | None:
+    """Return name and literal arguments of a CALL, None if it is not one."""
+    match = _CALL.match(sql)
+    if match is None:
+        return None
+    arguments = match.group(2).strip()
+    try:
+        literals = ast.literal_eval(f'({arguments},)') if arguments else ()
+    except (ValueError, SyntaxError):
+        return None
+    return match.group(1).lower(), literals
+
+
+def _translate_token(token: re.Match[str]) -> str:
+    match token.lastgroup:
+        case 'comment' | 'locking':
+            return ' '
+        case 'generated':
+            return 'AUTOINCREMENT'
+        case 'hex':
+            digits = token.group('hex')
+            return "x'{0}'".format(digits.zfill(len(digits) + len(digits) % 2))
+        case 'identifier':
+            return token.group()
+        case _:
+            return _literal(token)
+
+
+def _literal(token: re.Match[str]) -> str:
+    quote = token.group('quote')
+    body = token.group('body').replace(quote * 2, quote)
+    text = _ESCAPE.sub(_unescape, body)
+    encoded = text.encode('utf-8', 'surrogateescape')
+    if token.group('binary') or not _is_text(text):
+        return "x'{0}'".format(encoded.hex())
+    if '\0' in text:
+        return "CAST(x'{0}' AS TEXT)".format(encoded.hex())
+    return "'{0}'".format(text.replace("'", "''"))
+
+
+def _unescape(escape: re.Match[str]) -> str:
+    return _ESCAPED.get(escape.group(1), escape.group(1))
+
+
+def _is_text(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- /dev/null
+++ b/standins/database/procedures.py
@@ -0,0 +1,132 @@
+"""The `CALL` statements of a slot."""
+
+import inspect
+import json
+import time
+import typing
+from collections import abc
+
+from standins.database import dialect, faults, replication
+from standins.database import slot as slot_state
+
+Table = tuple[abc.Sequence[str], abc.Sequence[abc.Sequence[typing.Any]]]
+
+MILLISECONDS = 1000
+
+
+class Procedures:
+    """Commands of the group protocol and of tests."""
+
+    def __init__(self, slot: slot_state.Slot) -> None:
+        """Act on `slot`."""
+        self._slot = slot
+        self._follower = replication.Follower(slot)
+        self._commands: dict[str, abc.Callable[..., typing.Any]] = {
+            'group_status': self._status,
+            'group_raise_term': self._raise_term,
+            'group_promote': self._promote,
+            'group_follow': self.follow,
+            'group_wait': self._wait,
+            'group_fetch': self._fetch,
+            'group_term_ends': self._term_ends,
+            'standin_set': self._set,
+            'standin_dump_log': self._dump_log,
+        }
+
+    async def call(self, sql: str) -> Table:
+        """Run the CALL statement `sql` and return columns and rows."""
+        parsed = dialect.parse_call(sql)
+        if parsed is None or parsed[0] not in self._commands:
+            raise faults.SlotError(
+                faults.NO_SUCH_PROCEDURE,
+                f'PROCEDURE does not exist: {sql}',
+            )
+        name, arguments = parsed
+        try:
+            table = self._commands[name](*arguments)
+        except TypeError as error:
+            raise faults.SlotError(faults.SYNTAX, str(error)) from error
+        return await table if inspect.isawaitable(table) else table
+
+    def follow(self, term: int, host: str, port: int) -> Table:
+        """Follow the primary of `term` at the given address."""
+        slot = self._slot
+        slot.require_at_least(term)
+        if (slot.role, slot.term) == (slot_state.Role.primary, term):
+            slot.check_term(None)
+        slot.enter(term, slot_state.Role.replica)
+        self._follower.follow(replication.Source(term, host, port))
+        return self._position()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._follower.stop()
+
+    def _status(self) -> Table:
+        slot = self._slot
+        columns = ('slot', 'term', 'role', 'log_term', 'applied')
+        row = (slot.name, slot.term, slot.role, slot.log_term, len(slot.log))
+        return columns, [row]
+
+    def _raise_term(self, term: int) -> Table:
+        slot = self._slot
+        slot.require_at_least(term)
+        if term > slot.term:
+            self._follower.stop()
+            slot.enter(term, slot_state.Role.closed)
+        columns = ('term', 'log_term', 'applied')
+        return columns, [(slot.term, slot.log_term, len(slot.log))]
+
+    def _promote(self, term: int) -> Table:
+        self._slot.require_at_least(term)
+        self._follower.stop()
+        self._slot.enter(term, slot_state.Role.primary)
+        return self._position()
+
+    async def _wait(self, term: int, offset: int, timeout_ms: float) -> Table:
+        slot = self._slot
+        deadline = time.monotonic() + timeout_ms / MILLISECONDS
+        while slot.term < term or len(slot.log) < offset:
+            remaining = deadline - time.monotonic()
+            if slot.term > term or remaining <= 0:
+                break
+            await slot.changed.wait(remaining)
+        return self._position()
+
+    async def _fetch(self, term: int, offset: int, limit: int) -> Table:
+        slot = self._slot
+        slot.check_term(term)
+        if len(slot.log) <= offset:
+            await slot.changed.wait(replication.FETCH_WAIT_S)
+            slot.check_term(term)
+        now = time.monotonic()
+        rows = [
+            (
+                entry.term,
+                (now - entry.committed_at) * MILLISECONDS,
+                json.dumps(entry.statements),
+            )
+            for entry in slot.log[offset : offset + limit]
+        ]
+        return ('term', 'age_ms', 'statements'), rows
+
+    def _term_ends(self, term: int) -> Table:
+        self._slot.check_term(term)
+        return ('term', 'offset'), replication.term_ends(self._slot.log)
+
+    def _set(self, name: str, number: float) -> Table:
+        if name not in slot_state.Tuning.__slots__:
+            raise faults.SlotError(faults.SYNTAX, f'unknown value {name}')
+        setattr(self._slot.tuning, name, number)
+        return ('name', 'value'), [(name, number)]
+
+    def _dump_log(self) -> Table:
+        rows = [
+            (entry.term, offset, statement)
+            for offset, entry in enumerate(self._slot.log, start=1)
+            for statement in entry.statements
+        ]
+        return ('term', 'offset', 'sql'), rows
+
+    def _position(self) -> Table:
+        return ('term', 'applied'), [(self._slot.term, len(self._slot.log))]
--- /dev/null
+++ b/standins/database/replication.py
@@ -0,0 +1,149 @@
+"""Fetching of log entries from the primary."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import time
+import typing
+from collections import abc
+
+import aiomysql
+import pymysql
+
+from standins.database import slot as slot_state
+
+USER = 'replication'
+FETCH_LIMIT = 200
+FETCH_WAIT_S = 1
+ANSWER_TIMEOUT_S = 4
+RETRY_S = 0.05
+LAG_STEP_S = 0.02
+MILLISECONDS = 1000
+
+_FAILURES = (OSError, TimeoutError, pymysql.MySQLError)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Address of the primary and its term."""
+
+    term: int
+    host: str
+    port: int
+
+
+def term_ends(log: abc.Iterable[slot_state.Entry]) -> list[tuple[int, int]]:
+    """Return the last offset of each term in the log."""
+    ends: dict[int, int] = {}
+    for offset, entry in enumerate(log, start=1):
+        ends[entry.term] = offset
+    return list(ends.items())
+
+
+def matching_offset(
+    log: abc.Sequence[slot_state.Entry],
+    ends: abc.Iterable[tuple[int, int]],
+) -> int:
+    """Return how many entries of `log` a log with term ends `ends` has too.
+
+    A term has one primary, so entries with equal term and offset are equal.
+    """
+    own = dict(term_ends(log))
+    return max(
+        (min(own[term], end) for term, end in ends if term in own),
+        default=0,
+    )
+
+
+class Follower:
+    """Task that keeps a slot's log equal to that of its primary."""
+
+    def __init__(self, slot: slot_state.Slot) -> None:
+        """Follow nobody yet."""
+        self._slot = slot
+        self._task: asyncio.Task[None] | None = None
+
+    def follow(self, source: Source) -> None:
+        """Replace the task by one that follows `source`."""
+        self.stop()
+        self._task = asyncio.create_task(self._run(source))
+
+    def stop(self) -> None:
+        """End the task, if there is one."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _run(self, source: Source) -> None:
+        while True:
+            with contextlib.suppress(*_FAILURES):
+                await self._follow_once(source)
+            await asyncio.sleep(RETRY_S)
+
+    async def _follow_once(self, source: Source) -> None:
+        connection = await asyncio.wait_for(
+            aiomysql.connect(
+                host=source.host,
+                port=source.port,
+                user=USER,
+                autocommit=True,
+            ),
+            ANSWER_TIMEOUT_S,
+        )
+        try:
+            await self._drop_diverged(connection, source)
+            while True:
+                await self._fetch(connection, source)
+        finally:
+            connection.close()
+
+    async def _drop_diverged(
+        self,
+        connection: aiomysql.Connection,
+        source: Source,
+    ) -> None:
+        ends = await _call(connection, f'CALL group_term_ends({source.term})')
+        self._slot.truncate(
+            matching_offset(self._slot.log, [(row[0], row[1]) for row in ends]),
+        )
+
+    async def _fetch(
+        self,
+        connection: aiomysql.Connection,
+        source: Source,
+    ) -> None:
+        offset = len(self._slot.log)
+        rows = await _call(
+            connection,
+            f'CALL group_fetch({source.term}, {offset}, {FETCH_LIMIT})',
+        )
+        received_at = time.monotonic()
+        for term, age_ms, statements in rows:
+            entry = slot_state.Entry(
+                term,
+                tuple(json.loads(statements)),
+                received_at - age_ms / MILLISECONDS,
+            )
+            await self._wait_lag(entry)
+            self._slot.replicate(entry)
+
+    async def _wait_lag(self, entry: slot_state.Entry) -> None:
+        while True:
+            due = entry.committed_at + self._slot.tuning.lag_ms / MILLISECONDS
+            remaining = due - time.monotonic()
+            if remaining <= 0:
+                return
+            await asyncio.sleep(min(remaining, LAG_STEP_S))
+
+
+async def _call(
+    connection: aiomysql.Connection,
+    sql: str,
+) -> abc.Sequence[tuple[typing.Any, ...]]:
+    async with connection.cursor() as cursor:
+        await asyncio.wait_for(cursor.execute(sql), ANSWER_TIMEOUT_S)
+        return typing.cast(
+            abc.Sequence[tuple[typing.Any, ...]],
+            await cursor.fetchall(),
+        )
--- /dev/null
+++ b/standins/database/server.py
@@ -0,0 +1,182 @@
+"""MySQL listener of a slot."""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing
+
+from mysql_mimic import auth, connection, constants, packets, stream, types
+from mysql_mimic import control as mimic_control
+
+from standins.database import faults, procedures, replication, session, work
+from standins.database import slot as slot_state
+
+MILLISECONDS = 1000
+_CAPABILITIES = (
+    constants.DEFAULT_SERVER_CAPABILITIES
+    & ~types.Capabilities.CLIENT_QUERY_ATTRIBUTES
+)
+_CONNECTION_ENDS = (
+    ConnectionError,
+    asyncio.IncompleteReadError,
+    stream.ConnectionClosed,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """Client connections in use; replication does not count."""
+
+    connections: int = 0
+
+
+class SlotConnection(connection.Connection):
+    """Connection whose OK packets carry the result of writes."""
+
+    def __init__(
+        self,
+        link: stream.MysqlStream,
+        slot_session: session.SlotSession,
+        control: mimic_control.Control,
+        usage: Usage,
+        tuning: slot_state.Tuning,
+    ) -> None:
+        """Serve `slot_session` on `link`."""
+        super().__init__(
+            stream=link,
+            session=slot_session,
+            control=control,
+            identity_provider=auth.SimpleIdentityProvider(),
+            server_capabilities=_CAPABILITIES,
+        )
+        self._slot_session = slot_session
+        self._usage = usage
+        self._tuning = tuning
+        self._counted = False
+        self.status_flags = slot_session.work.status
+
+    async def connection_phase(self) -> None:
+        """Delay and perform the handshake."""
+        if self._usage.connections < self._tuning.connection_limit:
+            await asyncio.sleep(self._tuning.connection_cost_ms / MILLISECONDS)
+        await super().connection_phase()
+
+    async def authenticate(
+        self,
+        username: str,
+        *arguments: typing.Any,
+        **options: typing.Any,
+    ) -> None:
+        """Accept any user within the connection limit."""
+        if username != replication.USER and not self._counted:
+            if self._usage.connections >= self._tuning.connection_limit:
+                raise faults.SlotError(
+                    faults.TOO_MANY_CONNECTIONS,
+                    'Too many connections',
+                )
+            self._usage.connections += 1
+            self._counted = True
+        await super().authenticate(username, *arguments, **options)
+
+    def release(self) -> None:
+        """Give the place within the connection limit back."""
+        if self._counted:
+            self._usage.connections -= 1
+            self._counted = False
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run a text statement that may hold bytes that are not UTF-8."""
+        sql = data.decode('utf-8', 'surrogateescape')
+        result_set = await self.query(sql, {})
+        if result_set:
+            await self.write_text_resultset(result_set)
+        else:
+            await self.stream.write(self.ok())
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back and forget the session's state."""
+        self._slot_session.work.restart()
+        await self.stream.write(self.ok())
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Answer without the result of the last statement."""
+        self._slot_session.work.reply = work.Reply()
+        await self.stream.write(self.ok())
+
+    def ok(self, **fields: typing.Any) -> bytes:
+        """Return an OK packet."""
+        self.status_flags = self._slot_session.work.status
+        if fields:
+            return super().ok(**fields)
+        reply = self._slot_session.work.reply
+        packet = super().ok(
+            affected_rows=reply.affected_rows,
+            last_insert_id=reply.last_insert_id,
+        )
+        return packet + reply.message.encode()
+
+    def eof(self, **fields: typing.Any) -> bytes:
+        """Return an EOF packet."""
+        self.status_flags = self._slot_session.work.status
+        return super().eof(**fields)
+
+    def error(self, **fields: typing.Any) -> bytes:
+        """Return an error packet with the state that belongs to its code."""
+        message = fields.get('msg', '')
+        code = int(fields.get('code', faults.UNKNOWN))
+        if isinstance(message, faults.SlotError):
+            code = int(message.code)
+            message = message.msg
+        packet = packets.make_error(
+            capabilities=self.capabilities | _CAPABILITIES,
+            server_charset=self.server_charset,
+            msg=message,
+            code=typing.cast(typing.Any, code),
+        )
+        state = faults.SQLSTATES.get(code)
+        if state is None:
+            return packet
+        return packet[:4] + state + packet[9:]
+
+
+class SlotServer:
+    """Listener of one slot."""
+
+    def __init__(self, slot: slot_state.Slot) -> None:
+        """Serve `slot`."""
+        self.commands = procedures.Procedures(slot)
+        self._slot = slot
+        self._usage = Usage()
+        self._gate = work.ServiceGate(slot.tuning)
+        self._control = mimic_control.LocalControl()
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Start to accept connections."""
+        return await asyncio.start_server(self._accept, host, port)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        link = SlotConnection(
+            stream.MysqlStream(reader, writer),
+            session.SlotSession(self._slot, self.commands, self._gate),
+            self._control,
+            self._usage,
+            self._slot.tuning,
+        )
+        link.connection_id = await self._control.add(link)
+        await self._serve(link)
+        link.release()
+        writer.close()
+        await self._control.remove(link.connection_id)
+
+    async def _serve(self, link: SlotConnection) -> None:
+        # The stream callback of Python 3.11 logs cancelled handlers as errors.
+        with contextlib.suppress(
+            *_CONNECTION_ENDS,
+            faults.SlotError,
+            asyncio.CancelledError,
+        ):
+            await link.start()
