--- a/standins/database/command.py
+++ b/standins/database/command.py
@@ -13,23 +13,34 @@
 
 FLAGS = flags.FLAGS
 
-flags.DEFINE_string('group', 'group', 'Name of the database group.')
-flags.DEFINE_string('slot', 'slot', 'Name of the slot.')
-flags.DEFINE_string('host', '127.0.0.1', 'Address to listen on.')
-flags.DEFINE_integer('port', 0, 'Port; 0 lets the kernel choose.')
-flags.DEFINE_integer('term', 1, 'Term at the start.')
-flags.DEFINE_enum_class(
-    'role',
-    slot_state.Role.primary,
-    slot_state.Role,
-    'Role at the start; a replica follows nobody yet.',
-)
-flags.DEFINE_string('init_sql_file', '', 'Statements that set up the tables.')
-flags.DEFINE_float('lag_ms', 0, 'Time after which a replica applies a commit.')
-flags.DEFINE_integer('connection_limit', 1000, 'Client connections allowed.')
-flags.DEFINE_float('connection_cost_ms', 0, 'Delay of the handshake.')
-flags.DEFINE_float('service_ms', 0, 'Added time for each statement.')
-flags.DEFINE_integer('service_concurrency', 4, 'Statements served at a time.')
+
+def define_flags() -> None:
+    """Define the flags of the program."""
+    flags.DEFINE_string('group', 'group', 'Name of the database group.')
+    flags.DEFINE_string('slot', 'slot', 'Name of the slot.')
+    flags.DEFINE_string('host', '127.0.0.1', 'Address to listen on.')
+    flags.DEFINE_integer('port', 0, 'Port; 0 lets the kernel choose.')
+    flags.DEFINE_integer('term', 1, 'Term at the start.')
+    flags.DEFINE_enum_class(
+        'role',
+        slot_state.Role.primary,
+        slot_state.Role,
+        'Role at the start; a replica follows nobody yet.',
+    )
+    flags.DEFINE_string(
+        'init_sql_file', '', 'Statements that set up the tables.'
+    )
+    flags.DEFINE_float(
+        'lag_ms', 0, 'Time after which a replica applies a commit.'
+    )
+    flags.DEFINE_integer(
+        'connection_limit', 1000, 'Client connections allowed.'
+    )
+    flags.DEFINE_float('connection_cost_ms', 0, 'Delay of the handshake.')
+    flags.DEFINE_float('service_ms', 0, 'Added time for each statement.')
+    flags.DEFINE_integer(
+        'service_concurrency', 4, 'Statements served at a time.'
+    )
 
 
 async def serve() -> None:
@@ -59,6 +70,7 @@
 
 def run() -> None:
     """Parse the flags and run the program."""
+    define_flags()
     app.run(main)
 
 
--- /dev/null
+++ b/standins/platform/command.py
@@ -0,0 +1,46 @@
+"""Program `celeryrelay-standin-platform`."""
+
+import asyncio
+from collections import abc
+
+from absl import app, flags
+from aiohttp import web
+
+from standins import processes
+from standins.platform import service
+
+FLAGS = flags.FLAGS
+
+
+def define_flags() -> None:
+    """Define the flags of the program."""
+    flags.DEFINE_string('host', '127.0.0.1', 'Address to listen on.')
+    flags.DEFINE_integer('port', 0, 'Port; 0 lets the kernel choose.')
+    flags.DEFINE_float('read_limit', 2000, 'Reads allowed a second.')
+    flags.DEFINE_float('write_limit', 500, 'Writes allowed a second.')
+
+
+async def serve() -> None:
+    """Serve until SIGTERM or SIGINT."""
+    platform = service.Service(FLAGS.read_limit, FLAGS.write_limit)
+    runner = web.AppRunner(platform.application(), access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, FLAGS.host, FLAGS.port)
+    await site.start()
+    # The end of the loop cancels waiting watches; cleanup would wait for them.
+    await processes.announce({'http': runner.addresses[0][1]})
+
+
+def main(_arguments: abc.Sequence[str]) -> None:
+    """Run the program."""
+    asyncio.run(serve())
+
+
+def run() -> None:
+    """Parse the flags and run the program."""
+    define_flags()
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/standins/platform/service.py
@@ -0,0 +1,138 @@
+"""HTTP handlers of the platform's service."""
+
+import dataclasses
+import json
+import time
+import typing
+
+from aiohttp import web
+
+from standins.platform import limits, store
+
+VALUE_LIMIT_BYTES = 1_000_000
+BODY_LIMIT_BYTES = 4_000_000
+MILLISECONDS = 1000
+
+
+class Service:
+    """The key-value service, the instance list and the test controls."""
+
+    def __init__(self, read_limit: float, write_limit: float) -> None:
+        """Start without keys."""
+        self._store = store.Store()
+        self._gate = limits.Gate(read_limit, write_limit)
+        self._instances = limits.InstanceList()
+
+    def application(self) -> web.Application:
+        """Return the application with all routes."""
+        application = web.Application(
+            middlewares=[self._gate.handle],
+            client_max_size=BODY_LIMIT_BYTES,
+        )
+        application.add_routes(
+            [
+                web.get('/v1/kv/{key:.+}', self._get),
+                web.put('/v1/kv/{key:.+}', self._put),
+                web.get('/v1/range', self._range),
+                web.get('/v1/watch', self._watch),
+                web.post('/v1/leases', self._grant),
+                web.post('/v1/leases/{lease}/renew', self._renew),
+                web.delete('/v1/leases/{lease}', self._end_lease),
+                web.get('/v1/instances', self._list_instances),
+                web.post('/admin/instances', self._replace_instances),
+                web.post('/admin/faults', self._set_faults),
+                web.get('/admin/calls', self._calls),
+            ]
+        )
+        return application
+
+    async def _get(self, request: web.Request) -> web.Response:
+        entry = self._store.get(request.match_info['key'])
+        if entry is None:
+            return web.json_response({'error': 'no such key'}, status=404)
+        return web.json_response(entry.as_json())
+
+    async def _put(self, request: web.Request) -> web.Response:
+        key = request.match_info['key']
+        value = (await request.json())['value']
+        if len(json.dumps(value)) > VALUE_LIMIT_BYTES:
+            return web.json_response({'error': 'value too large'}, status=413)
+        lease = request.query.get('lease', '')
+        if lease and not self._store.has_lease(lease):
+            return web.json_response({'error': 'no such lease'}, status=404)
+        current = self._store.get(key)
+        revision = 0 if current is None else current.revision
+        if int(request.query.get('expected', revision)) != revision:
+            absent = store.Entry(key, None, 0)
+            return web.json_response(
+                (current or absent).as_json(),
+                status=409,
+            )
+        entry = self._store.put(key, value, lease)
+        return web.json_response({'revision': entry.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        entries = self._store.changes(
+            request.query.get('prefix', ''),
+            int(request.query.get('since', 0)),
+        )
+        return web.json_response(
+            {
+                'revision': self._store.revision,
+                'entries': [entry.as_json() for entry in entries],
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query.get('prefix', '')
+        since = int(request.query.get('since', 0))
+        wait_s = float(request.query.get('wait_ms', 0)) / MILLISECONDS
+        deadline = time.monotonic() + wait_s
+        while not self._store.changes(prefix, since):
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or self._gate.faults.down:
+                break
+            await self._store.wait_change(remaining)
+        return await self._range(request)
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        ttl_ms = float((await request.json())['ttl_ms'])
+        lease = self._store.grant(ttl_ms)
+        return web.json_response({'lease': lease, 'ttl_ms': ttl_ms})
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        return _lease_answer(self._store.renew(request.match_info['lease']))
+
+    async def _end_lease(self, request: web.Request) -> web.Response:
+        return _lease_answer(self._store.end_lease(request.match_info['lease']))
+
+    async def _list_instances(self, _request: web.Request) -> web.Response:
+        lag_ms = self._gate.faults.list_lag_ms
+        return web.json_response({'instances': self._instances.seen(lag_ms)})
+
+    async def _replace_instances(self, request: web.Request) -> web.Response:
+        self._instances.replace((await request.json())['instances'])
+        return web.json_response({})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        given: dict[str, typing.Any] = await request.json()
+        try:
+            self._gate.faults = dataclasses.replace(self._gate.faults, **given)
+        except TypeError as error:
+            return web.json_response({'error': str(error)}, status=400)
+        self._store.wake()
+        return web.json_response(dataclasses.asdict(self._gate.faults))
+
+    async def _calls(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'calls': dict(self._gate.calls),
+                'refused': self._gate.refused,
+            }
+        )
+
+
+def _lease_answer(found: bool) -> web.Response:
+    if found:
+        return web.json_response({})
+    return web.json_response({'error': 'no such lease'}, status=404)
--- /dev/null
+++ b/standins/platform/store.py
@@ -0,0 +1,134 @@
+"""Key-value data with revisions, leases and changes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing
+
+Value = typing.Any
+
+MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value; a deleted key has no value.
+
+    Attributes:
+        key: The key.
+        value: JSON value, None after deletion.
+        revision: Revision of the last change, unique over all keys.
+        lease: Lease that the key ends with; empty for none.
+        deleted: Whether the key is absent.
+    """
+
+    key: str
+    value: Value
+    revision: int
+    lease: str = ''
+    deleted: bool = False
+
+    def as_json(self) -> dict[str, typing.Any]:
+        """Return the entry as the protocol shows it."""
+        return {
+            'key': self.key,
+            'value': self.value,
+            'revision': self.revision,
+        }
+
+
+class Store:
+    """Keys, leases and the waiting of watches.
+
+    Attributes:
+        revision: Revision of the last change.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.revision = 0
+        self._entries: dict[str, Entry] = {}
+        self._leases: dict[str, tuple[float, asyncio.TimerHandle]] = {}
+        self._lease_count = 0
+        self._changed = asyncio.Event()
+
+    def get(self, key: str) -> Entry | None:
+        """Return the entry of a present key."""
+        entry = self._entries.get(key)
+        return None if entry is None or entry.deleted else entry
+
+    def put(self, key: str, value: Value, lease: str = '') -> Entry:
+        """Set a key and return its entry."""
+        self.revision += 1
+        self._entries[key] = Entry(key, value, self.revision, lease)
+        self.wake()
+        return self._entries[key]
+
+    def delete(self, key: str) -> None:
+        """Delete a key; watches see the entry with the value null."""
+        self.put(key, None)
+        self._entries[key] = dataclasses.replace(
+            self._entries[key],
+            deleted=True,
+        )
+
+    def changes(self, prefix: str, since: int) -> list[Entry]:
+        """Return entries changed after `since`; all present ones for 0."""
+        return sorted(
+            (
+                entry
+                for entry in self._entries.values()
+                if entry.key.startswith(prefix)
+                and entry.revision > since
+                and (since > 0 or not entry.deleted)
+            ),
+            key=lambda entry: entry.revision,
+        )
+
+    async def wait_change(self, timeout_s: float) -> None:
+        """Wait for the next change or `wake`, at most `timeout_s` seconds."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+
+    def wake(self) -> None:
+        """Wake all watches."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def grant(self, ttl_ms: float) -> str:
+        """Return a new lease that ends after `ttl_ms` unless renewed."""
+        self._lease_count += 1
+        lease = f'lease-{self._lease_count}'
+        self._schedule(lease, ttl_ms)
+        return lease
+
+    def renew(self, lease: str) -> bool:
+        """Start the time of a lease again; False if it has ended."""
+        if lease not in self._leases:
+            return False
+        ttl_ms, timer = self._leases[lease]
+        timer.cancel()
+        self._schedule(lease, ttl_ms)
+        return True
+
+    def has_lease(self, lease: str) -> bool:
+        """Return whether a lease is valid."""
+        return lease in self._leases
+
+    def end_lease(self, lease: str) -> bool:
+        """Delete a lease with its keys; False if it has ended before."""
+        if lease not in self._leases:
+            return False
+        self._leases.pop(lease)[1].cancel()
+        for entry in tuple(self._entries.values()):
+            if entry.lease == lease and not entry.deleted:
+                self.delete(entry.key)
+        return True
+
+    def _schedule(self, lease: str, ttl_ms: float) -> None:
+        timer = asyncio.get_running_loop().call_later(
+            ttl_ms / MILLISECONDS,
+            self.end_lease,
+            lease,
+        )
+        self._leases[lease] = (ttl_ms, timer)
