--- /dev/null
+++ b/standins/faultproxy/admin.py
@@ -0,0 +1,57 @@
+"""HTTP interface that adds links and sets faults."""
+
+import typing
+
+from aiohttp import web
+
+from standins.faultproxy import links
+
+
+class Admin:
+    """Handlers of the admin interface."""
+
+    def __init__(self, known: links.Links) -> None:
+        """Act on the links in `known`."""
+        self._links = known
+
+    def application(self) -> web.Application:
+        """Return the application with all routes."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get('/links', self._list),
+                web.post('/links', self._add),
+                web.post('/links/{name}/faults', self._set_faults),
+            ]
+        )
+        return application
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        described = [link.describe() for link in self._links.values()]
+        return web.json_response({'links': described})
+
+    async def _add(self, request: web.Request) -> web.Response:
+        given: dict[str, typing.Any] = await request.json()
+        link = links.Link(
+            given['name'],
+            given.get('target_host', '127.0.0.1'),
+            given['target_port'],
+        )
+        if link.name in self._links:
+            return web.json_response({'error': 'name is taken'}, status=409)
+        await self._links.add(
+            link,
+            given.get('listen_host', '127.0.0.1'),
+            given.get('listen_port', 0),
+        )
+        return web.json_response(link.describe())
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        link = self._links.get(request.match_info['name'])
+        if link is None:
+            return web.json_response({'error': 'no such link'}, status=404)
+        try:
+            await link.set_faults(**(await request.json()))
+        except TypeError as error:
+            return web.json_response({'error': str(error)}, status=400)
+        return web.json_response(link.describe())
--- a/standins/platform/command.py
+++ b/standins/platform/command.py
@@ -23,12 +23,15 @@
 async def serve() -> None:
     """Serve until SIGTERM or SIGINT."""
     platform = service.Service(FLAGS.read_limit, FLAGS.write_limit)
-    runner = web.AppRunner(platform.application(), access_log=None)
+    runner = web.AppRunner(
+        platform.application(), access_log=None, shutdown_timeout=1
+    )
     await runner.setup()
     site = web.TCPSite(runner, FLAGS.host, FLAGS.port)
     await site.start()
-    # The end of the loop cancels waiting watches; cleanup would wait for them.
     await processes.announce({'http': runner.addresses[0][1]})
+    platform.stop()
+    await runner.cleanup()
 
 
 def main(_arguments: abc.Sequence[str]) -> None:
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -46,6 +46,11 @@
         )
         return application
 
+    def stop(self) -> None:
+        """End waiting watches and answer no more calls."""
+        self._gate.faults = limits.Faults(down=True)
+        self._store.wake()
+
     async def _get(self, request: web.Request) -> web.Response:
         entry = self._store.get(request.match_info['key'])
         if entry is None:
