--- a/standins/database/command.py
+++ b/standins/database/command.py
@@ -7,7 +7,7 @@
 
 from absl import app, flags
 
-from standins import processes
+from standins import announcement
 from standins.database import server, storage
 from standins.database import slot as slot_state
 
@@ -59,7 +59,7 @@
     slot_server = server.SlotServer(slot)
     listener = await slot_server.listen(FLAGS.host, FLAGS.port)
     port = listener.sockets[0].getsockname()[1]
-    await processes.announce({'mysql': port})
+    await announcement.announce({'mysql': port})
 
 
 def main(_arguments: abc.Sequence[str]) -> None:
--- /dev/null
+++ b/standins/deployment/cluster.py
@@ -0,0 +1,317 @@
+"""A complete deployment on the loopback interface."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import secrets
+import tempfile
+import types
+import typing
+from collections import abc
+
+import aiohttp
+import aiomysql
+
+from standins.deployment import processes, services, shapes
+
+ENTRY_MODULE = 'celeryrelay.management.commands.entry'
+HEALTH_TIMEOUT_S = 20
+KEY_BYTES = 32
+
+Rows = abc.Sequence[abc.Sequence[typing.Any]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """A running stand-in database.
+
+    Attributes:
+        address: Address for daemons, which may be a fault proxy link.
+        program: The process.
+        port: Port of the database itself.
+    """
+
+    address: shapes.SlotAddress
+    program: processes.Program
+    port: int
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A running entry daemon.
+
+    Attributes:
+        zone: Its availability zone.
+        address: Its address on the platform's list.
+        program: The process.
+        peer: Client of its HTTP interface, past any fault proxy.
+        mysql_port: Port for callers.
+        state: Its state on the platform's list.
+    """
+
+    zone: str
+    address: str
+    program: processes.Program
+    peer: services.Service
+    mysql_port: int
+    state: str = 'live'
+
+
+class Cluster:
+    """Context manager that starts a deployment and ends all of it.
+
+    Attributes:
+        shape: Size and settings.
+        slots: Slots by group and name.
+        entries: Entry daemons, also those that have ended.
+        objects: Published operators' objects.
+        directory: Temporary directory with settings, stderr and events.
+        platform: Client of the platform.
+        proxy: Client of the fault proxy, if the shape has links.
+    """
+
+    directory: pathlib.Path
+    platform: services.Platform
+    proxy: services.FaultProxy
+    _http: aiohttp.ClientSession
+    _programs: processes.Programs
+
+    def __init__(self, shape: shapes.Shape) -> None:
+        """Describe a deployment that is not started yet."""
+        self.shape = shape
+        self.slots: dict[tuple[str, str], Slot] = {}
+        self.entries: list[Entry] = []
+        self.objects: shapes.Document = {}
+        self._platform_links: dict[str, int] = {}
+        self._entry_count = 0
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> typing.Self:
+        """Start everything."""
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """End all processes and remove the files."""
+        await self._stack.aclose()
+
+    async def start_entry(self, zone: str) -> Entry:
+        """Start one more entry daemon and register it."""
+        self._entry_count += 1
+        name = f'entry-{self._entry_count}-{zone}'
+        link = 0
+        if 'peers' in self.shape.proxied:
+            link = await self.proxy.add_link(name)
+        path = self.directory / f'{name}.json'
+        path.write_text(json.dumps(self._entry_settings(name, zone, link)))
+        program = await self._programs.start(
+            name,
+            ENTRY_MODULE,
+            '--settings',
+            str(path),
+        )
+        peer_port = program.listening['peer']
+        if link:
+            await self.proxy.add_link(name, peer_port)
+        entry = Entry(
+            zone,
+            f'{shapes.HOST}:{link or peer_port}',
+            program,
+            services.Service(self._http, peer_port),
+            program.listening['mysql'],
+        )
+        self.entries.append(entry)
+        await self.register()
+        return entry
+
+    async def register(self) -> None:
+        """Set the platform's list to the running processes."""
+        databases = [
+            _listed(f'{shapes.HOST}:{slot.address.port}', slot.address.zone)
+            for slot in self.slots.values()
+        ]
+        entries = [
+            _listed(entry.address, entry.zone, 'entry', entry.state)
+            for entry in self.entries
+            if entry.program.running
+        ]
+        await self.platform.post(
+            '/admin/instances',
+            instances=entries + databases,
+        )
+
+    async def query(self, group: str, slot: str, sql: str) -> Rows:
+        """Run a statement on a slot directly, not through celeryrelay."""
+        return await run_sql(self.slots[group, slot].port, 'standin', sql)
+
+    async def wait_healthy(self) -> None:
+        """Wait until all running entry daemons report that they can serve.
+
+        Raises:
+            TimeoutError: One of them doesn't in time.
+        """
+        async with asyncio.timeout(HEALTH_TIMEOUT_S):
+            for entry in self.entries:
+                if entry.program.running:
+                    await entry.peer.wait_healthy()
+
+    async def _start(self) -> None:
+        temporary = tempfile.TemporaryDirectory(prefix='celeryrelay-')
+        self.directory = pathlib.Path(self._stack.enter_context(temporary))
+        self._http = await self._stack.enter_async_context(
+            aiohttp.ClientSession(raise_for_status=True),
+        )
+        self._programs = processes.Programs(self.directory)
+        self._stack.push_async_callback(self._programs.stop)
+        key = secrets.token_hex(KEY_BYTES)
+        (self.directory / 'fleet.key').write_text(key)
+        await self._start_services()
+        await self._start_slots()
+        await self._publish()
+        await asyncio.gather(
+            *(
+                self.start_entry(zone)
+                for zone in self.shape.zones
+                for _ in range(self.shape.entries_per_zone)
+            )
+        )
+
+    async def _start_services(self) -> None:
+        platform = await self._programs.start(
+            'platform',
+            'standins.platform.command',
+        )
+        port = platform.listening['http']
+        self.platform = services.Platform(self._http, port)
+        if not self.shape.proxied:
+            return
+        proxy = await self._programs.start(
+            'faultproxy',
+            'standins.faultproxy.command',
+        )
+        self.proxy = services.FaultProxy(self._http, proxy.listening['admin'])
+        if 'platform' in self.shape.proxied:
+            for zone in self.shape.zones:
+                link = await self.proxy.add_link(f'platform-{zone}', port)
+                self._platform_links[zone] = link
+
+    async def _start_slots(self) -> None:
+        (self.directory / 'init.sql').write_text(self.shape.init_sql)
+        started = await asyncio.gather(
+            *(
+                self._start_slot(group, number)
+                for group in self.shape.groups
+                for number in range(self.shape.slots_per_group)
+            )
+        )
+        for slot in started:
+            self.slots[slot.address.group, slot.address.name] = slot
+        for group, name in self.slots:
+            port = self.slots[group, _slot_name(0)].address.port
+            follow = f"CALL group_follow(1, '{shapes.HOST}', {port})"
+            if name != _slot_name(0):
+                await self.query(group, name, follow)
+
+    async def _start_slot(self, group: str, number: int) -> Slot:
+        name = _slot_name(number)
+        init_path = self.directory / 'init.sql'
+        program = await self._programs.start(
+            f'{group}-{name}',
+            'standins.database.command',
+            f'--group={group}',
+            f'--slot={name}',
+            '--role={0}'.format('replica' if number else 'primary'),
+            f'--connection_limit={self.shape.connection_limit}',
+            f'--init_sql_file={init_path}',
+            *self.shape.slot_flags,
+        )
+        port = program.listening['mysql']
+        link = port
+        if 'slots' in self.shape.proxied:
+            link = await self.proxy.add_link(program.name, port)
+        zone = self.shape.slot_zone(group, number)
+        address = shapes.SlotAddress(group, name, zone, link)
+        return Slot(address, program, port)
+
+    async def _publish(self) -> None:
+        self.objects = shapes.build_objects(
+            self.shape,
+            [slot.address for slot in self.slots.values()],
+        )
+        for group in self.shape.groups:
+            record = {
+                'term': 1,
+                'primary': _slot_name(0),
+                'state': 'open',
+                'history': [[1, 0]],
+            }
+            await self.platform.put(f'groups/{group}/term', record)
+        await self.platform.publish(self.objects)
+        await self.register()
+
+    def _entry_settings(
+        self,
+        name: str,
+        zone: str,
+        link: int,
+    ) -> shapes.Document:
+        platform_link = self._platform_links.get(zone)
+        platform = self.platform.url
+        if platform_link is not None:
+            platform = f'http://{shapes.HOST}:{platform_link}'
+        return {
+            'deployment': 'standins',
+            'availability_zone': zone,
+            'advertise': f'{shapes.HOST}:{link}' if link else '',
+            'platform_url': platform,
+            'fleet_key_file': str(self.directory / 'fleet.key'),
+            'listen': {'host': shapes.HOST, 'mysql_port': 0, 'peer_port': 0},
+            'timeline': {'path': str(self.directory / f'{name}.events')},
+            **self.shape.entry_settings,
+        }
+
+
+async def run_sql(port: int, user: str, sql: str) -> Rows:
+    """Run a statement on a new connection and return its rows."""
+    connection = await aiomysql.connect(
+        host=shapes.HOST,
+        port=port,
+        user=user,
+        autocommit=True,
+    )
+    try:
+        async with connection.cursor() as cursor:
+            await cursor.execute(sql)
+            return typing.cast(Rows, await cursor.fetchall())
+    finally:
+        connection.close()
+
+
+def _slot_name(number: int) -> str:
+    return f'slot-{number}'
+
+
+def _listed(
+    address: str,
+    zone: str,
+    kind: str = 'database',
+    state: str = 'live',
+) -> shapes.Document:
+    return {
+        'instance': address,
+        'address': address,
+        'zone': zone,
+        'kind': kind,
+        'state': state,
+    }
--- /dev/null
+++ b/standins/deployment/services.py
@@ -0,0 +1,82 @@
+"""Clients of the HTTP interfaces of a deployment."""
+
+import asyncio
+import contextlib
+import typing
+import uuid
+
+import aiohttp
+
+from standins.deployment import shapes
+
+POLL_S = 0.05
+
+
+class Service:
+    """A program with an HTTP interface on the loopback interface."""
+
+    def __init__(self, http: aiohttp.ClientSession, port: int) -> None:
+        """Use `http`, which raises an exception for error statuses."""
+        self.url = f'http://{shapes.HOST}:{port}'
+        self._http = http
+
+    async def get(self, path: str) -> typing.Any:
+        """Return the answer to a GET."""
+        async with self._http.get(f'{self.url}{path}') as answer:
+            return await answer.json(content_type=None)
+
+    async def post(self, path: str, **fields: typing.Any) -> typing.Any:
+        """Return the answer to a POST of an object with `fields`."""
+        address = f'{self.url}{path}'
+        async with self._http.post(address, json=fields) as answer:
+            return await answer.json(content_type=None)
+
+    async def wait_healthy(self) -> None:
+        """Wait until `GET /health` succeeds."""
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, ValueError):
+                await self.get('/health')
+                return
+            await asyncio.sleep(POLL_S)
+
+
+class Platform(Service):
+    """Client of the platform."""
+
+    async def put(self, key: str, value: typing.Any) -> int:
+        """Write a value unconditionally and return its revision."""
+        address = f'{self.url}/v1/kv/{key}'
+        async with self._http.put(address, json={'value': value}) as answer:
+            return int((await answer.json())['revision'])
+
+    async def value(self, key: str) -> typing.Any:
+        """Return the value of a key."""
+        return (await self.get(f'/v1/kv/{key}'))['value']
+
+    async def set_faults(self, **faults: typing.Any) -> None:
+        """Change the faults that are named."""
+        await self.post('/admin/faults', **faults)
+
+    async def publish(self, objects: shapes.Document) -> None:
+        """Write the first configuration."""
+        await self.put(
+            'configuration',
+            {
+                'publication': str(uuid.uuid4()),
+                'revision': 1,
+                'objects': objects,
+            },
+        )
+
+
+class FaultProxy(Service):
+    """Client of the fault proxy."""
+
+    async def add_link(self, name: str, target_port: int = 0) -> int:
+        """Add a link, or change its target; return the port it listens on."""
+        link = await self.post('/links', name=name, target_port=target_port)
+        return int(link['port'])
+
+    async def set_faults(self, name: str, **faults: typing.Any) -> None:
+        """Change the faults of a link that are named."""
+        await self.post(f'/links/{name}/faults', **faults)
--- /dev/null
+++ b/standins/deployment/shapes.py
@@ -0,0 +1,136 @@
+"""What a deployment for tests or the demo consists of."""
+
+import dataclasses
+import typing
+from collections import abc
+
+HOST = '127.0.0.1'
+BACKEND_CONNECTION_LIMIT = 20
+
+Document = dict[str, typing.Any]
+
+# Latency targets in ms, shares and worths of the three ranks.
+RANKS: tuple[Document, ...] = (
+    {
+        'rank': 'bookings',
+        'target_ms': 100,
+        'deadline_ms': 2000,
+        'share': 6,
+        'worth': 10,
+        'durability': 'replicated',
+    },
+    {
+        'rank': 'checks',
+        'target_ms': 250,
+        'deadline_ms': 3000,
+        'share': 3,
+        'worth': 3,
+        'durability': 'local',
+    },
+    {
+        'rank': 'reports',
+        'target_ms': 2000,
+        'deadline_ms': 8000,
+        'share': 1,
+        'worth': 1,
+        'durability': 'local',
+    },
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Size and settings of a deployment.
+
+    Attributes:
+        zones: Availability zones.
+        groups: Names of the database groups.
+        slots_per_group: Slots of each group, spread over the zones.
+        entries_per_zone: Entry daemons in each zone.
+        connection_limit: Connections that each slot accepts.
+        slot_flags: Further flags of the stand-in database.
+        init_sql: Statements that set up the tables.
+        entry_settings: Settings of the entry daemons that differ from the
+            defaults.
+        proxied: What is reached through fault proxy links: `slots`,
+            `platform` (one link for each zone) and `peers`.
+    """
+
+    zones: tuple[str, ...] = ('zone-1', 'zone-2', 'zone-3')
+    groups: tuple[str, ...] = ('group-1', 'group-2')
+    slots_per_group: int = 3
+    entries_per_zone: int = 2
+    connection_limit: int = BACKEND_CONNECTION_LIMIT
+    slot_flags: tuple[str, ...] = ()
+    init_sql: str = ''
+    entry_settings: abc.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict,
+    )
+    proxied: frozenset[str] = frozenset()
+
+    def slot_zone(self, group: str, number: int) -> str:
+        """Return the zone of a group's slot."""
+        place = self.groups.index(group) + number
+        return self.zones[place % len(self.zones)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotAddress:
+    """A slot as daemons reach it."""
+
+    group: str
+    name: str
+    zone: str
+    port: int
+
+
+def user_name(group: str, rank: str) -> str:
+    """Return the caller's user name for a group and a rank."""
+    return f'{group}.{rank}'
+
+
+def build_objects(
+    shape: Shape,
+    addresses: abc.Iterable[SlotAddress],
+) -> Document:
+    """Return operators' objects with a route for each group and rank."""
+    slots: dict[str, list[Document]] = {group: [] for group in shape.groups}
+    for address in addresses:
+        slots[address.group].append(
+            {
+                'name': address.name,
+                'host': HOST,
+                'port': address.port,
+                'zone': address.zone,
+            }
+        )
+    return {
+        'database_groups': [
+            {
+                'name': group,
+                'slots': slots[group],
+                'connection_limit': shape.connection_limit,
+                'schema': '',
+            }
+            for group in shape.groups
+        ],
+        'routes': [
+            _route(group, rank['rank'])
+            for group in shape.groups
+            for rank in RANKS
+        ],
+        'ranks': list(RANKS),
+        'stale_read_rules': [{'name': 'reports', 'max_age_ms': 5000}],
+    }
+
+
+def _route(group: str, rank: str) -> Document:
+    return {
+        'name': f'{group}-{rank}',
+        'user': user_name(group, rank),
+        'schema': '',
+        'group': group,
+        'rank': rank,
+        'stale_read_rule': 'reports' if rank == 'reports' else '',
+        'durability': None,
+    }
--- a/standins/faultproxy/admin.py
+++ b/standins/faultproxy/admin.py
@@ -6,6 +6,8 @@
 
 from standins.faultproxy import links
 
+LOOPBACK = '127.0.0.1'
+
 
 class Admin:
     """Handlers of the admin interface."""
@@ -32,18 +34,18 @@
 
     async def _add(self, request: web.Request) -> web.Response:
         given: dict[str, typing.Any] = await request.json()
-        link = links.Link(
-            given['name'],
-            given.get('target_host', '127.0.0.1'),
-            given['target_port'],
-        )
-        if link.name in self._links:
-            return web.json_response({'error': 'name is taken'}, status=409)
-        await self._links.add(
-            link,
-            given.get('listen_host', '127.0.0.1'),
-            given.get('listen_port', 0),
-        )
+        name = given['name']
+        host = given.get('target_host', LOOPBACK)
+        port = given['target_port']
+        link = self._links.get(name)
+        if link is None:
+            link = links.Link(name, host, port)
+            await self._links.add(
+                link,
+                given.get('listen_host', LOOPBACK),
+                given.get('listen_port', 0),
+            )
+        link.retarget(host, port)
         return web.json_response(link.describe())
 
     async def _set_faults(self, request: web.Request) -> web.Response:
--- a/standins/faultproxy/command.py
+++ b/standins/faultproxy/command.py
@@ -6,7 +6,7 @@
 from absl import app, flags
 from aiohttp import web
 
-from standins import processes
+from standins import announcement
 from standins.faultproxy import admin, links
 
 FLAGS = flags.FLAGS
@@ -29,7 +29,7 @@
     runner = web.AppRunner(admin.Admin(known).application(), access_log=None)
     await runner.setup()
     await web.TCPSite(runner, FLAGS.host, FLAGS.port).start()
-    await processes.announce(
+    await announcement.announce(
         {
             'admin': runner.addresses[0][1],
             'links': {link.name: link.port for link in known.values()},
--- a/standins/faultproxy/links.py
+++ b/standins/faultproxy/links.py
@@ -68,6 +68,10 @@
         self.host = host
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def retarget(self, host: str, port: int) -> None:
+        """Connect new clients to another target."""
+        self._target = (host, port)
+
     async def set_faults(self, **changes: typing.Any) -> None:
         """Change the faults that are named.
 
--- a/standins/platform/command.py
+++ b/standins/platform/command.py
@@ -6,7 +6,7 @@
 from absl import app, flags
 from aiohttp import web
 
-from standins import processes
+from standins import announcement
 from standins.platform import service
 
 FLAGS = flags.FLAGS
@@ -29,7 +29,7 @@
     await runner.setup()
     site = web.TCPSite(runner, FLAGS.host, FLAGS.port)
     await site.start()
-    await processes.announce({'http': runner.addresses[0][1]})
+    await announcement.announce({'http': runner.addresses[0][1]})
     platform.stop()
     await runner.cleanup()
 
