--- /dev/null
+++ b/celeryrelay/accounting/classes.py
@@ -0,0 +1,31 @@
+"""Classes of outcomes in accounts and metrics."""
+
+import enum
+
+from celeryrelay.core import errors, outcomes
+
+
+class OutcomeClass(enum.StrEnum):
+    """Class of a statement's final outcome."""
+
+    done = 'done'
+    failed = 'failed'
+    not_run = 'not_run'
+    outcome_unknown = 'outcome_unknown'
+
+
+def classify(outcome: outcomes.Outcome) -> tuple[OutcomeClass, str]:
+    """Return the class of `outcome` and its reason, empty if it has none."""
+    match outcome:
+        case outcomes.Done():
+            return OutcomeClass.done, ''
+        case outcomes.Failed():
+            return OutcomeClass.failed, ''
+        case outcomes.NotRun(reason=reason):
+            return OutcomeClass.not_run, reason.value
+        case outcomes.OutcomeUnknown(reason=reason):
+            return OutcomeClass.outcome_unknown, reason.value
+        case _:
+            raise errors.InvariantError(
+                'not an outcome: {0!r}'.format(outcome),
+            )
--- /dev/null
+++ b/celeryrelay/timeline/events.py
@@ -0,0 +1,178 @@
+"""Event log of one process."""
+
+import collections
+import dataclasses
+import pathlib
+import typing
+
+import orjson
+
+from celeryrelay.conf import settings
+from celeryrelay.core import clock, errors, identity
+
+MS_PER_SECOND = 1000
+TIME_DIGITS = 3
+
+# Bounds the memory of unwritten events when the file system is slow: events
+# beyond this count are written by `emit` itself.
+PENDING_EVENTS = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happened in one process.
+
+    Attributes:
+        instance: Peer address of the process.
+        incarnation: Random value of this start of the process.
+        sequence: Number of the event in the process, from 1 without gaps.
+        clock: Lamport clock of the event.
+        time_ms: Unix time in milliseconds.
+        kind: Name of the kind of event.
+        fields: Further values; a name from the list above is not replaced.
+    """
+
+    instance: str
+    incarnation: str
+    sequence: int
+    clock: int
+    time_ms: float
+    kind: str
+    fields: typing.Mapping[str, typing.Any]
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the event as one flat JSON object."""
+        header = {
+            'instance': self.instance,
+            'incarnation': self.incarnation,
+            'sequence': self.sequence,
+            'clock': self.clock,
+            'time_ms': self.time_ms,
+            'kind': self.kind,
+        }
+        return {**header, **self.fields, **header}
+
+    def dump(self) -> bytes:
+        """Return the event as a JSON line with its line end."""
+        return orjson.dumps(
+            self.as_dict(),
+            default=repr,
+            option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS,
+        )
+
+
+class EventLog:
+    """Records events and keeps the Lamport clock of the process.
+
+    Written by one task only; it is not thread-safe.
+    """
+
+    def __init__(
+        self,
+        own_identity: identity.Identity,
+        process_clock: clock.Clock,
+        log_settings: settings.TimelineSettings,
+    ) -> None:
+        """Open the file of the settings, if one is named.
+
+        Raises:
+            CeleryrelayError: The file can't be opened.
+        """
+        self.lost_events = 0
+        self._identity = own_identity
+        self._process_clock = process_clock
+        self._enabled = log_settings.enabled
+        self._sequence = 0
+        self._clock = 0
+        self._recent: collections.deque[Event] = collections.deque(
+            maxlen=log_settings.buffer_events,
+        )
+        self._pending: list[Event] = []
+        self._file = None
+        if log_settings.enabled and log_settings.path:
+            self._file = _open_log(log_settings.path)
+
+    def emit(self, kind: str, **fields: typing.Any) -> None:
+        """Record an event of `kind`."""
+        if not self._enabled:
+            return
+        self._sequence += 1
+        self._clock += 1
+        event = Event(
+            self._identity.instance,
+            self._identity.incarnation,
+            self._sequence,
+            self._clock,
+            round(self._process_clock.wall() * MS_PER_SECOND, TIME_DIGITS),
+            kind,
+            fields,
+        )
+        self._recent.append(event)
+        if self._file is not None:
+            self._pending.append(event)
+            if len(self._pending) >= PENDING_EVENTS:
+                self.flush()
+
+    def stamp(self) -> int:
+        """Advance the Lamport clock and return it for an outgoing message."""
+        self._clock += 1
+        return self._clock
+
+    def observe(self, remote_clock: int) -> None:
+        """Move the Lamport clock up to that of a received message."""
+        if remote_clock > self._clock:
+            self._clock = remote_clock
+
+    def recent(self, after_sequence: int = 0) -> list[dict[str, typing.Any]]:
+        """Return the buffered events with a higher sequence number."""
+        return [
+            event.as_dict()
+            for event in self._recent
+            if event.sequence > after_sequence
+        ]
+
+    def flush(self) -> None:
+        """Write buffered lines to the file.
+
+        The daemon calls this at least every 200 ms. Events that can't be
+        written are counted in `lost_events` and show as a gap in the sequence
+        numbers, so that a full disk doesn't stop the daemon.
+        """
+        if self._file is None or not self._pending:
+            return
+        pending = self._pending
+        self._pending = []
+        lines = b''.join(event.dump() for event in pending)
+        try:
+            self._file.write(lines)
+        except OSError:
+            self.lost_events += len(pending)
+
+    def close(self) -> None:
+        """Write buffered lines and close the file."""
+        self.flush()
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+def _open_log(path: str) -> typing.BinaryIO:
+    """Open `path` for appending, at the start of a line.
+
+    A process that was killed may have left a truncated last line.
+    """
+    try:
+        log_file = pathlib.Path(path).open('a+b', buffering=0)
+    except OSError as error:
+        raise errors.CeleryrelayError(
+            'timeline.path: given {0!r}; cannot be opened: {1}'.format(
+                path,
+                error,
+            ),
+        ) from error
+    end = log_file.seek(0, 2)
+    if end:
+        log_file.seek(end - 1)
+        if log_file.read(1) != b'\n':
+            log_file.write(b'\n')
+    return log_file
