--- a/celeryrelay/accounting/classes.py
+++ b/celeryrelay/accounting/classes.py
@@ -29,3 +29,16 @@
             raise errors.InvariantError(
                 'not an outcome: {0!r}'.format(outcome),
             )
+
+
+def join(outcome_class: OutcomeClass, reason: str) -> str:
+    """Return the name of an outcome in batches, `<class>[:<reason>]`."""
+    if reason:
+        return '{0}:{1}'.format(outcome_class.value, reason)
+    return outcome_class.value
+
+
+def split(name: str) -> tuple[str, str]:
+    """Return class and reason of a name that `join` made."""
+    outcome_class, _, reason = name.partition(':')
+    return outcome_class, reason
