--- a/celeryrelay/timeline/events.py
+++ b/celeryrelay/timeline/events.py
@@ -29,7 +29,9 @@
         clock: Lamport clock of the event.
         time_ms: Unix time in milliseconds.
         kind: Name of the kind of event.
-        fields: Further values; a name from the list above is not replaced.
+        fields: Further values; a name from this list is not replaced.
+        heard: Highest Lamport clock received before the event, if a message
+            raised it since the previous event; otherwise 0.
     """
 
     instance: str
@@ -39,6 +41,7 @@
     time_ms: float
     kind: str
     fields: typing.Mapping[str, typing.Any]
+    heard: int = 0
 
     def as_dict(self) -> dict[str, typing.Any]:
         """Return the event as one flat JSON object."""
@@ -50,6 +53,8 @@
             'time_ms': self.time_ms,
             'kind': self.kind,
         }
+        if self.heard:
+            header['heard'] = self.heard
         return {**header, **self.fields, **header}
 
     def dump(self) -> bytes:
@@ -84,6 +89,8 @@
         self._enabled = log_settings.enabled
         self._sequence = 0
         self._clock = 0
+        self._heard = 0
+        self._highest_heard = 0
         self._recent: collections.deque[Event] = collections.deque(
             maxlen=log_settings.buffer_events,
         )
@@ -106,7 +113,9 @@
             round(self._process_clock.wall() * MS_PER_SECOND, TIME_DIGITS),
             kind,
             fields,
+            self._heard,
         )
+        self._heard = 0
         self._recent.append(event)
         if self._file is not None:
             self._pending.append(event)
@@ -120,8 +129,10 @@
 
     def observe(self, remote_clock: int) -> None:
         """Move the Lamport clock up to that of a received message."""
-        if remote_clock > self._clock:
-            self._clock = remote_clock
+        if remote_clock > self._highest_heard:
+            self._highest_heard = remote_clock
+            self._heard = remote_clock
+            self._clock = max(self._clock, remote_clock)
 
     def recent(self, after_sequence: int = 0) -> list[dict[str, typing.Any]]:
         """Return the buffered events with a higher sequence number."""
