Add the entry daemon: callers, holders, control exchange, promoter

Cause: nothing ran yet from a caller to a database. Measured by hand with two groups of three stand-in slots and six entry instances in three zones: writes replicated to a second slot, reads from a replica through another instance, and 1.6 s until the first write after a killed primary.

--- a/celeryrelay/adapters/logs.py
+++ b/celeryrelay/adapters/logs.py
@@ -1,5 +1,6 @@
 """Log lines of the daemon and its programs."""
 
+import logging
 import re
 import typing
 
@@ -71,6 +72,9 @@
         The handler, which a test can take off again.
     """
     logbook.set_datetime_format('utc')
+    # These libraries log each connection and each transition of a state.
+    for name in ('mysql_mimic', 'transitions'):
+        logging.getLogger(name).setLevel(logging.CRITICAL)
     handler = logbook.StderrHandler(level=level, bubble=False)
     handler.formatter = format_record
     # Records below the level must not reach logbook's default handler.
--- /dev/null
+++ b/celeryrelay/adapters/peers.py
@@ -0,0 +1,162 @@
+"""HTTP between daemons, on aiohttp: client half."""
+
+import asyncio
+import dataclasses
+from collections import abc
+
+import aiohttp
+import result
+
+from celeryrelay.core import messages
+
+LINE_LIMIT_BYTES = 67108864
+CONNECT_TIMEOUT_S = 0.5
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerFault:
+    """A peer gave no complete answer.
+
+    Attributes:
+        sent: Whether the request may have reached the peer.
+        message: What went wrong.
+    """
+
+    sent: bool
+    message: str
+
+
+class PeerClient:
+    """Sends messages to other daemons over kept-alive connections."""
+
+    def __init__(self, fleet_key: str) -> None:
+        """Prepare a client that authenticates with `fleet_key`."""
+        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            headers={'Authorization': 'Bearer {0}'.format(fleet_key)},
+            read_bufsize=LINE_LIMIT_BYTES // 64,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def statement(
+        self,
+        instance: str,
+        request: messages.StatementRequest,
+        progress_timeout_ms: float,
+    ) -> abc.AsyncGenerator[messages.Line | PeerFault, None]:
+        """Send a statement and yield the lines of its answer.
+
+        A `PeerFault` ends the answer early.
+        """
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=progress_timeout_ms / _MS_PER_S,
+        )
+        try:
+            async with self._session.post(
+                _url(instance, 'peer/statement'),
+                data=messages.STATEMENT.dump_json(request),
+                timeout=timeout,
+            ) as response:
+                async for line in _lines(response):
+                    yield line
+        except _NOT_SENT as error:
+            yield PeerFault(sent=False, message=_text(error))
+        except _FAULTS as error:
+            yield PeerFault(sent=True, message=_text(error))
+
+    async def call(
+        self,
+        instance: str,
+        path: str,
+        body: bytes,
+        timeout_ms: float,
+    ) -> result.Result[bytes, PeerFault]:
+        """Post one JSON message and return the body of the answer."""
+        return await self._exchange('POST', instance, path, body, timeout_ms)
+
+    async def fetch(
+        self,
+        instance: str,
+        path: str,
+        timeout_ms: float,
+    ) -> result.Result[bytes, PeerFault]:
+        """Get a JSON document from a peer."""
+        return await self._exchange('GET', instance, path, None, timeout_ms)
+
+    async def _exchange(
+        self,
+        method: str,
+        instance: str,
+        path: str,
+        body: bytes | None,
+        timeout_ms: float,
+    ) -> result.Result[bytes, PeerFault]:
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / _MS_PER_S)
+        try:
+            async with self._session.request(
+                method,
+                _url(instance, path),
+                data=body,
+                timeout=timeout,
+            ) as response:
+                return await _body(response)
+        except _NOT_SENT as error:
+            return result.Err(PeerFault(sent=False, message=_text(error)))
+        except _FAULTS as error:
+            return result.Err(PeerFault(sent=True, message=_text(error)))
+
+
+async def _body(
+    response: aiohttp.ClientResponse,
+) -> result.Result[bytes, PeerFault]:
+    content = await response.read()
+    if response.status == 200:
+        return result.Ok(content)
+    message = 'HTTP status {0}'.format(response.status)
+    return result.Err(PeerFault(sent=True, message=message))
+
+
+async def _lines(
+    response: aiohttp.ClientResponse,
+) -> abc.AsyncGenerator[messages.Line | PeerFault, None]:
+    if response.status != 200:
+        # The server half refuses a statement by status only before any
+        # handler has seen it.
+        message = 'HTTP status {0}'.format(response.status)
+        yield PeerFault(sent=False, message=message)
+        return
+    while True:
+        raw = await response.content.readuntil(b'\n')
+        if not raw:
+            yield PeerFault(sent=True, message='answer ended early')
+            return
+        match messages.decode(messages.LINE, raw):
+            case result.Ok(line):
+                yield line
+                if isinstance(line, messages.LAST_LINES):
+                    return
+            case result.Err(message):
+                yield PeerFault(sent=True, message=message)
+                return
+
+
+def _url(instance: str, path: str) -> str:
+    return 'http://{0}/{1}'.format(instance, path)
+
+
+def _text(error: BaseException) -> str:
+    return '{0}: {1}'.format(type(error).__name__, error)
+
+
+_NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
+_FAULTS = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
--- a/celeryrelay/conf/settings.py
+++ b/celeryrelay/conf/settings.py
@@ -66,6 +66,8 @@
         request_timeout_ms: Deadline of one control request.
         suspect_after_ms: Silence after which an instance gets no role.
         list_interval_ms: Time between readings of the platform's list.
+        seeds: Peer addresses to ask at the start while the platform's list
+            can't be read.
     """
 
     exchange_interval_ms: Milliseconds = 200
@@ -73,6 +75,7 @@
     request_timeout_ms: Milliseconds = 400
     suspect_after_ms: Milliseconds = 1500
     list_interval_ms: Milliseconds = 1000
+    seeds: tuple[str, ...] = ()
 
 
 class StatementSettings(StrictModel):
--- /dev/null
+++ b/celeryrelay/daemon/acknowledgement.py
@@ -0,0 +1,200 @@
+"""Acknowledgement of committed writes of one database group."""
+
+import asyncio
+import dataclasses
+import typing
+from collections import abc
+
+from celeryrelay.conf import sets, settings
+from celeryrelay.core import clock, outcomes, positions
+from celeryrelay.daemon import confirmation, fleet
+from celeryrelay.terms import guard
+
+RETRY_AFTER_MS = 100
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """A write that the primary has committed.
+
+    Attributes:
+        received_at: Monotonic time in seconds at which the holder received
+            the request.
+        sent_at: Monotonic time in seconds before the commit was sent.
+        budget_ms: Time that the request had left then.
+    """
+
+    slot: str
+    term: int
+    offset: int
+    durability: sets.Durability
+    received_at: float
+    sent_at: float
+    budget_ms: float
+
+
+class Acknowledger:
+    """Decides for one slot which writes may be sent and acknowledged."""
+
+    def __init__(
+        self,
+        group: sets.DatabaseGroup,
+        known: fleet.Fleet,
+        options: settings.TermSettings,
+        ticker: clock.Clock,
+    ) -> None:
+        """Create the acknowledger of a group."""
+        self.confirmers: tuple[confirmation.SlotConfirmer, ...] = ()
+        self._group = group
+        self._fleet = known
+        self._clock = ticker
+        self._guard = guard.TermGuard(options, len(group.slots))
+
+    def permission(
+        self,
+    ) -> guard.Window | guard.Confirm | guard.Refuse:
+        """Return whether a write may be sent now."""
+        self._observe()
+        return self._guard.permission(self._clock.monotonic())
+
+    def refusal(
+        self,
+        slot: str,
+        durability: sets.Durability,
+    ) -> outcomes.NotRun | None:
+        """Return why a write can't be sent to `slot`, or None if it can."""
+        permission = self.permission()
+        if isinstance(permission, guard.Refuse):
+            return no_primary(permission.reason)
+        if permission.primary != slot:
+            return no_primary(outcomes.Reason.no_primary)
+        strict = durability is sets.Durability.replicated
+        needs_slots = strict or isinstance(permission, guard.Confirm)
+        if needs_slots and not self._has_confirmer():
+            return no_primary(outcomes.Reason.unconfirmed)
+        return None
+
+    async def acknowledge(
+        self,
+        commit: Commit,
+        done: outcomes.Done,
+    ) -> outcomes.Outcome:
+        """Return `done` if it may be said, else that nobody can know."""
+        durability = self._effective(commit.durability)
+        own = guard.Confirmation(
+            slot=commit.slot,
+            term=commit.term,
+            applied=commit.offset,
+            log_term=commit.term,
+            sent_at=commit.sent_at,
+        )
+        verdict = self._judge(commit, durability, [own])
+        if isinstance(verdict, guard.Unconfirmed):
+            verdict = await self._confirmed(commit, durability, own)
+        return self._outcome(commit, verdict, done)
+
+    def _effective(self, durability: sets.Durability) -> sets.Durability:
+        if durability is not sets.Durability.preferred:
+            return durability
+        if self._has_confirmer():
+            return sets.Durability.replicated
+        return sets.Durability.local
+
+    def _has_confirmer(self) -> bool:
+        return any(confirmer.healthy for confirmer in self.confirmers)
+
+    def _observe(self) -> None:
+        record = self._fleet.record(self._group.name)
+        stamp = self._fleet.stamp
+        if record is not None and stamp is not None:
+            self._guard.observe(record, stamp.sent_at)
+
+    def _judge(
+        self,
+        commit: Commit,
+        durability: sets.Durability,
+        confirmations: abc.Sequence[guard.Confirmation],
+    ) -> guard.Acknowledge | guard.Unconfirmed:
+        self._observe()
+        return self._guard.acknowledge(
+            commit.term,
+            durability,
+            self._clock.monotonic(),
+            confirmations,
+            commit.offset,
+        )
+
+    async def _confirmed(
+        self,
+        commit: Commit,
+        durability: sets.Durability,
+        own: guard.Confirmation,
+    ) -> guard.Acknowledge | guard.Unconfirmed:
+        replicated = durability is not sets.Durability.local
+        offset = commit.offset if replicated else 0
+        waiting: set[asyncio.Future[guard.Confirmation]] = {
+            confirmer.request(commit.term, offset)
+            for confirmer in self.confirmers
+        }
+        answers = [own]
+        deadline = commit.received_at + commit.budget_ms / _MS_PER_S
+        try:
+            while waiting:
+                left_s = max(deadline - self._clock.monotonic(), 0)
+                finished, waiting = await asyncio.wait(
+                    waiting,
+                    timeout=left_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not finished:
+                    break
+                answers.extend(future.result() for future in finished)
+                verdict = self._judge(commit, durability, answers)
+                if isinstance(verdict, guard.Acknowledge):
+                    return verdict
+        finally:
+            for future in waiting:
+                future.cancel()
+        return self._judge(commit, durability, answers)
+
+    def _outcome(
+        self,
+        commit: Commit,
+        verdict: guard.Acknowledge | guard.Unconfirmed,
+        done: outcomes.Done,
+    ) -> outcomes.Outcome:
+        match verdict:
+            case guard.Acknowledge(until=None):
+                return dataclasses.replace(
+                    done,
+                    position=self._position(commit),
+                )
+            case guard.Acknowledge(until=until):
+                within_s = typing.cast(float, until) - commit.received_at
+                return dataclasses.replace(
+                    done,
+                    position=self._position(commit),
+                    ack_within_ms=within_s * _MS_PER_S,
+                )
+            case guard.Unconfirmed(reason=reason):
+                return outcomes.OutcomeUnknown(
+                    reason,
+                    'the write was committed and could not be confirmed',
+                )
+
+    def _position(self, commit: Commit) -> positions.Position:
+        return positions.Position(
+            self._group.name,
+            commit.term,
+            commit.offset,
+        )
+
+
+def no_primary(reason: outcomes.Reason) -> outcomes.NotRun:
+    """Return the refusal of a statement that needs the primary."""
+    return outcomes.NotRun(
+        reason=reason,
+        message='the primary cannot take the statement: {0}'.format(reason),
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/celeryrelay/daemon/admission.py
@@ -0,0 +1,103 @@
+"""Asynchronous front of the admission queue of one slot."""
+
+import asyncio
+import itertools
+import random
+from collections import abc
+
+from celeryrelay.admission import decisions, limits, queue
+from celeryrelay.conf import sets
+from celeryrelay.core import clock, outcomes, ranks
+
+RETRY_AFTER_MS = 200
+_MS_PER_S = 1000
+
+
+class Admission:
+    """Lets statements start as the queue decides."""
+
+    def __init__(
+        self,
+        policies: abc.Mapping[ranks.Rank, sets.RankPolicy],
+        maximum: int,
+        ticker: clock.Clock,
+    ) -> None:
+        """Create the queue of a slot with `maximum` connections."""
+        self._clock = ticker
+        self._numbers = itertools.count()
+        self._waiting: dict[
+            int, asyncio.Future[decisions.Start | decisions.Refuse]
+        ]
+        self._waiting = {}
+        self._queue = queue.AdmissionQueue(
+            policies,
+            limits.AdaptiveLimit(minimum=1, maximum=maximum),
+            random.Random(),
+        )
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of statements that wait."""
+        return len(self._waiting)
+
+    async def enter(
+        self,
+        rank: ranks.Rank,
+        budget_ms: float,
+    ) -> decisions.Start | decisions.Refuse:
+        """Wait until a statement may start or is refused."""
+        now = self._clock.monotonic()
+        number = next(self._numbers)
+        deadline = now + budget_ms / _MS_PER_S
+        ticket = decisions.Ticket(number, rank, now, deadline)
+        verdict = self._queue.offer(ticket, now)
+        if not isinstance(verdict, decisions.Wait):
+            return verdict
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            return await asyncio.wait_for(future, budget_ms / _MS_PER_S)
+        except TimeoutError:
+            return self._expire(number)
+        except asyncio.CancelledError:
+            self._abandon(number, future)
+            raise
+
+    def leave(self, number: int, service_ms: float, *, ok: bool) -> None:
+        """Report that a started statement has ended."""
+        now = self._clock.monotonic()
+        self._settle(self._queue.release(number, now, service_ms, ok))
+
+    def _expire(self, number: int) -> decisions.Refuse:
+        self._waiting.pop(number, None)
+        self._queue.cancel(number)
+        return decisions.Refuse(
+            number,
+            outcomes.Reason.deadline,
+            RETRY_AFTER_MS,
+        )
+
+    def _abandon(
+        self,
+        number: int,
+        future: asyncio.Future[decisions.Start | decisions.Refuse],
+    ) -> None:
+        self._waiting.pop(number, None)
+        started = future.done() and not future.cancelled()
+        if started and isinstance(future.result(), decisions.Start):
+            self.leave(number, 0, ok=True)
+        else:
+            self._queue.cancel(number)
+
+    def _settle(
+        self,
+        verdicts: abc.Iterable[decisions.Start | decisions.Refuse],
+    ) -> None:
+        for verdict in verdicts:
+            future = self._waiting.pop(verdict.ticket_id, None)
+            if future is None or future.done():
+                # The waiter gave up in this very moment; its place is free.
+                if isinstance(verdict, decisions.Start):
+                    self.leave(verdict.ticket_id, 0, ok=True)
+            else:
+                future.set_result(verdict)
--- /dev/null
+++ b/celeryrelay/daemon/application.py
@@ -0,0 +1,379 @@
+"""The entry daemon as a whole."""
+
+import asyncio
+import dataclasses
+import pathlib
+import ssl
+
+import aiohttp
+import orjson
+import result
+
+from celeryrelay.accounting import batches
+from celeryrelay.adapters import (
+    callers,
+    logs,
+    metrics,
+    peer_server,
+    peers,
+    platform,
+)
+from celeryrelay.admission import budget
+from celeryrelay.conf import settings
+from celeryrelay.core import clock, identity, messages
+from celeryrelay.daemon import (
+    bookkeeping,
+    control,
+    distribution,
+    entry,
+    evidence,
+    fleet,
+    forwarding,
+    holders,
+    observer,
+    promoter,
+    recording,
+    reporting,
+    staleness_feed,
+)
+from celeryrelay.membership import view
+from celeryrelay.routing import classification
+from celeryrelay.sessions import tokens
+from celeryrelay.timeline import events
+
+RECONCILE_S = 0.05
+FLUSH_S = 0.2
+_MS_PER_S = 1000
+
+_LOG = logs.get('daemon')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Secrets:
+    """Keys that the daemon reads from files at its start."""
+
+    fleet_key: str = dataclasses.field(repr=False)
+    backend_password: str = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listening:
+    """Ports that the daemon listens on."""
+
+    mysql: int
+    peer: int
+
+
+def read_secrets(
+    options: settings.Settings,
+) -> result.Result[Secrets, str]:
+    """Return the secrets of the files that the settings name."""
+    texts = []
+    for path in (options.fleet_key_file, options.backend_password_file):
+        try:
+            text = pathlib.Path(path).read_text('utf-8') if path else ''
+        except (OSError, UnicodeDecodeError) as error:
+            return result.Err('{0}: cannot be read: {1}'.format(path, error))
+        texts.append(text.strip())
+    if not texts[0]:
+        message = '{0}: the fleet key is empty'
+        return result.Err(message.format(options.fleet_key_file))
+    return result.Ok(Secrets(texts[0], texts[1]))
+
+
+class Application:
+    """Owns all tasks of the daemon and starts and stops them."""
+
+    def __init__(self, options: settings.Settings, secrets: Secrets) -> None:
+        """Create a daemon that does not listen yet."""
+        self._settings = options
+        self._secrets = secrets
+        self._clock = clock.SystemClock()
+        self._stopped = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> Listening:
+        """Listen and start all tasks.
+
+        Raises:
+            OSError: An address can't be listened on.
+            CeleryrelayError: The event log can't be opened.
+        """
+        options = self._settings
+        self._server = peer_server.PeerServer(self, self._secrets.fleet_key)
+        host = options.listen.host
+        peer_port = await self._server.start(host, options.listen.peer_port)
+        advertised = options.advertise or '{0}:{1}'.format(host, peer_port)
+        self._build(advertised)
+        mysql_port = await self._callers.start(host, options.listen.mysql_port)
+        self._start_tasks()
+        self._events.emit(
+            'started',
+            zone=options.availability_zone,
+            mysql=mysql_port,
+        )
+        _LOG.info('listening for callers on {0}:{1}', host, mysql_port)
+        return Listening(mysql_port, peer_port)
+
+    async def run(self) -> None:
+        """Run until a planned stop has ended."""
+        await self._stopped.wait()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._books.close()
+        self._holders.close()
+        await self._server.close()
+        await self._client.close()
+        await self._http.close()
+        self._events.emit('stopped')
+        self._events.close()
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        if not self.fleet.draining:
+            self.fleet.draining = True
+            self._view.drain()
+            self._events.emit('drain_started')
+            _LOG.info('planned stop has begun')
+            self._tasks.append(asyncio.create_task(self._drain()))
+
+    def statement(
+        self,
+        request: messages.StatementRequest,
+    ) -> peer_server.Lines:
+        """Run a statement on one of this daemon's slots."""
+        return self._holders.statement(request)
+
+    def exchange(
+        self,
+        request: messages.ExchangeRequest,
+    ) -> messages.ExchangeReply:
+        """Answer a control message."""
+        return self._control.on_exchange(request)
+
+    def configuration(self) -> bytes | None:
+        """Return the published set as stored, or None."""
+        return self._distribution.stored()
+
+    def account(self, body: bytes) -> result.Result[bytes, str]:
+        """Take an account batch and return its acknowledgement."""
+        return self._books.on_batch(body)
+
+    def healthy(self) -> bool:
+        """Return whether the balancer may send connections."""
+        return self.fleet.published is not None and not self.fleet.draining
+
+    def status(self) -> bytes:
+        """Return the status document."""
+        return orjson.dumps(self._reporter.status())
+
+    def metrics(self) -> bytes:
+        """Return the metrics page."""
+        return self._reporter.metrics_page()
+
+    def events(self, after: int) -> bytes:
+        """Return recorded events after a sequence number as JSON lines."""
+        return b''.join(
+            orjson.dumps(event, option=orjson.OPT_APPEND_NEWLINE)
+            for event in self._events.recent(after)
+        )
+
+    def _build(self, advertised: str) -> None:
+        options = self._settings
+        own = identity.Identity(
+            advertised,
+            options.availability_zone,
+            identity.new_incarnation(),
+        )
+        self.fleet = fleet.Fleet(own)
+        self._events = events.EventLog(own, self._clock, options.timeline)
+        self._view = view.LiveView(options.control, own)
+        self._evidence = evidence.EvidenceTable(own.instance)
+        self._client = peers.PeerClient(self._secrets.fleet_key)
+        self._http = aiohttp.ClientSession()
+        store = platform.PlatformClient(
+            options.platform_url,
+            self._http,
+            options.control.request_timeout_ms,
+        )
+        self._control = control.Control(
+            control.ControlParts(
+                fleet=self.fleet,
+                view=self._view,
+                evidence=self._evidence,
+                client=self._client,
+                platform=store,
+                settings=options,
+                events=self._events,
+                clock=self._clock,
+            ),
+        )
+        self._distribution = distribution.Distribution(
+            self.fleet,
+            self._control,
+            store,
+            self._client,
+            self._events,
+        )
+        self._holders = holders.HolderTable(
+            self.fleet,
+            options,
+            self._secrets.backend_password,
+            self._events,
+        )
+        self._build_failover(store)
+        self._build_entry()
+
+    def _build_failover(self, store: platform.PlatformClient) -> None:
+        options = self._settings
+        builder = batches.BatchBuilder(
+            self.fleet.own,
+            options.deployment,
+            options.account,
+        )
+        self._builder = builder
+        self._observer = observer.Observer(
+            self.fleet,
+            self._holders,
+            self._evidence,
+            options,
+            self._events,
+        )
+        self._promoter = promoter.Promoter(
+            promoter.PromoterParts(
+                fleet=self.fleet,
+                evidence=self._evidence,
+                holders=self._holders,
+                platform=store,
+                builder=builder,
+                settings=options,
+                events=self._events,
+                clock=self._clock,
+            ),
+        )
+        self._books = bookkeeping.Bookkeeping(
+            builder,
+            self.fleet,
+            self._control,
+            store,
+            self._client,
+        )
+
+    def _build_entry(self) -> None:
+        options = self._settings
+        counters = metrics.Metrics()
+        recorder = recording.Recorder(
+            self._builder,
+            counters,
+            self._events,
+            self._clock,
+        )
+        forwarder = forwarding.Forwarder(
+            self.fleet,
+            self._holders,
+            self._client,
+            self._events,
+        )
+        gate = entry.Entry(
+            entry.EntryParts(
+                fleet=self.fleet,
+                forwarder=forwarder,
+                classifier=classification.Classifier(
+                    options.statements.classification_cache,
+                ),
+                signer=tokens.TokenSigner(
+                    self._secrets.fleet_key.encode(),
+                    options.deployment,
+                ),
+                retries=budget.RetryBudget(),
+                recorder=recorder,
+                settings=options,
+                clock=self._clock,
+            ),
+        )
+        self._callers = callers.CallerServer(
+            gate,
+            options.statements,
+            _tls_context(options.tls),
+        )
+        self._feed = staleness_feed.StalenessFeed(
+            self.fleet,
+            self._holders,
+            forwarder,
+            options,
+        )
+        self._reporter = reporting.Reporter(
+            reporting.ReporterParts(
+                fleet=self.fleet,
+                control=self._control,
+                distribution=self._distribution,
+                holders=self._holders,
+                promoter=self._promoter,
+                recorder=recorder,
+                books=self._books,
+                callers=self._callers,
+                metrics=counters,
+                clock=self._clock,
+            ),
+        )
+
+    def _start_tasks(self) -> None:
+        loops = (
+            self._control.run(),
+            self._distribution.run(self._settings.control),
+            self._observer.run(),
+            self._promoter.run(),
+            self._books.run(self._settings.account),
+            self._feed.run(),
+            self._reconcile_loop(),
+            self._flush_loop(),
+        )
+        for loop in loops:
+            task = asyncio.create_task(loop)
+            task.add_done_callback(self._on_task_end)
+            self._tasks.append(task)
+
+    def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A task that fails has broken an invariant; the balancer and the
+        # other daemons take over.
+        _LOG.exception('task failed', exc_info=task.exception())
+        self._stopped.set()
+
+    async def _reconcile_loop(self) -> None:
+        while True:
+            self._holders.reconcile()
+            await asyncio.sleep(RECONCILE_S)
+
+    async def _flush_loop(self) -> None:
+        while True:
+            self._events.flush()
+            await asyncio.sleep(FLUSH_S)
+
+    async def _drain(self) -> None:
+        options = self._settings.drain
+        await asyncio.sleep(options.balancer_grace_ms / _MS_PER_S)
+        self._callers.stop_listening()
+        deadline = self._clock.monotonic() + options.limit_ms / _MS_PER_S
+        while self._clock.monotonic() < deadline and self._is_busy():
+            await asyncio.sleep(RECONCILE_S)
+        self._callers.close_all()
+        self._stopped.set()
+
+    def _is_busy(self) -> bool:
+        held = self._holders.holders.values()
+        serving = any(holder.parts.admission.waiting for holder in held)
+        transactions = self._holders.busy_transactions
+        return bool(serving or transactions or self._callers.connections)
+
+
+def _tls_context(
+    options: settings.TlsSettings | None,
+) -> ssl.SSLContext | None:
+    if options is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(options.certificate_file, options.key_file)
+    return context
--- /dev/null
+++ b/celeryrelay/daemon/bookkeeping.py
@@ -0,0 +1,168 @@
+"""Delivery of account batches to relays and on to the store."""
+
+import asyncio
+import random
+
+import orjson
+import pydantic
+import result
+
+from celeryrelay.accounting import batches, outbox, pending, relaying, sequences
+from celeryrelay.adapters import logs, peers, platform
+from celeryrelay.conf import settings
+from celeryrelay.core import clock
+from celeryrelay.daemon import control, fleet
+from celeryrelay.membership import roles
+
+SEND_TIMEOUT_MS = 1000
+MAX_STEPS = 6
+_MS_PER_S = 1000
+
+_LOG = logs.get('account')
+_RANGES = pydantic.TypeAdapter(sequences.Ranges)
+
+
+class Bookkeeping:
+    """Sends this entry's batches and stores those of the zone as a relay."""
+
+    def __init__(
+        self,
+        builder: batches.BatchBuilder,
+        known: fleet.Fleet,
+        exchange: control.Control,
+        store: platform.PlatformClient,
+        client: peers.PeerClient,
+    ) -> None:
+        """Create the task; `run` starts its loop."""
+        self.outbox = outbox.Outbox()
+        self._builder = builder
+        self._fleet = known
+        self._control = exchange
+        self._platform = store
+        self._client = client
+        self._clock = clock.SystemClock()
+        self._books: dict[str, relaying.RelayBook] = {}
+
+    async def run(self, options: settings.AccountSettings) -> None:
+        """Send and store batches until cancelled."""
+        interval_s = options.flush_interval_ms / _MS_PER_S
+        while True:
+            spread = random.uniform(0.9, 1.1)  # noqa: S311 (no secret)
+            await asyncio.sleep(interval_s * spread)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Cut a batch, send what is due and store what others sent."""
+        batch = self._builder.cut(self._clock.wall())
+        if batch is not None:
+            self.outbox.add(batch)
+        await self._send_due()
+        await self._store()
+
+    async def close(self) -> None:
+        """Send the closing batch of a planned stop."""
+        self.outbox.add(self._builder.close(self._clock.wall()))
+        await self._send_due()
+        await self._store()
+
+    def on_batch(self, body: bytes) -> result.Result[bytes, str]:
+        """Take a batch of an entry; answer which of its batches are stored."""
+        return batches.Batch.parse(body).map(self._accept)
+
+    def _accept(self, batch: batches.Batch) -> bytes:
+        book = self._book(batch.deployment)
+        offered = book.offer(batch)
+        if offered not in _TAKEN:
+            _LOG.warning('batch of {0}: {1}', batch.source, offered.value)
+        return orjson.dumps(book.confirmed(batch.source))
+
+    def _book(self, deployment: str) -> relaying.RelayBook:
+        return self._books.setdefault(
+            deployment,
+            relaying.RelayBook(deployment),
+        )
+
+    async def _send_due(self) -> None:
+        own = self._fleet.own
+        relays = roles.relays(own.availability_zone, self._fleet.members)
+        for relay in relays:
+            due = self.outbox.due(relay.instance, self._clock.monotonic())
+            for batch in due:
+                await self._send(relay.instance, batch)
+
+    async def _send(self, relay: str, batch: batches.Batch) -> None:
+        if relay == self._fleet.own.instance:
+            self._confirm(self._accept(batch))
+            return
+        answered = await self._client.call(
+            relay,
+            'peer/account',
+            batch.dump(),
+            SEND_TIMEOUT_MS,
+        )
+        match answered:
+            case result.Ok(body):
+                self._confirm(body)
+
+    def _confirm(self, body: bytes) -> None:
+        try:
+            stored = _RANGES.validate_json(body)
+        except pydantic.ValidationError:
+            return
+        self.outbox.confirm(stored)
+
+    async def _store(self) -> None:
+        for book in self._books.values():
+            command = book.begin()
+            for _ in range(MAX_STEPS):
+                if command is None:
+                    break
+                command = await self._step(book, command)
+            else:
+                book.on_failure()
+
+    async def _step(
+        self,
+        book: relaying.RelayBook,
+        command: relaying.Command,
+    ) -> relaying.Command | None:
+        match command:
+            case relaying.Read(key=key):
+                return _after_read(book, await self._platform.get(key))
+            case relaying.Write():
+                written = await self._platform.put(
+                    command.key,
+                    command.value,
+                    command.expected,
+                )
+                return _after_write(book, written)
+
+
+_TAKEN = frozenset((pending.Offer.accepted, pending.Offer.already_stored))
+
+
+def _after_read(
+    book: relaying.RelayBook,
+    found: result.Result[platform.Entry, platform.PlatformFailure],
+) -> relaying.Command | None:
+    match found:
+        case result.Ok(entry):
+            return book.on_read(entry.value, entry.revision)
+        case result.Err(platform.Missing()):
+            return book.on_read(None, 0)
+    book.on_failure()
+    return None
+
+
+def _after_write(
+    book: relaying.RelayBook,
+    written: result.Result[platform.Written, platform.PlatformFailure],
+) -> relaying.Command | None:
+    match written:
+        case result.Ok(_):
+            book.on_written()
+        case result.Err(platform.Conflict(entry)):
+            return book.on_read(entry.value, entry.revision)
+        case _:
+            book.on_failure()
+    return None
--- /dev/null
+++ b/celeryrelay/daemon/control.py
@@ -0,0 +1,373 @@
+"""Control exchange: heartbeats, term stamps, members and evidence.
+
+Each daemon talks to one relay of its availability zone. Relays read the store
+for their zone and talk to the relays of the other zones, so the cost for a
+daemon does not grow with the fleet.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections import abc
+
+import result
+
+from celeryrelay.adapters import logs, peers, platform
+from celeryrelay.conf import settings
+from celeryrelay.core import clock, identity, messages
+from celeryrelay.daemon import evidence, fleet
+from celeryrelay.membership import roles, view
+from celeryrelay.timeline import events
+
+FINGERPRINT_CACHE_S = 0.1
+DISCOVERY_ROUNDS = 5
+GROUP_PREFIX = 'groups/'
+TERM_SUFFIX = '/term'
+_MS_PER_S = 1000
+
+_LOG = logs.get('control')
+
+
+@dataclasses.dataclass(slots=True)
+class ControlParts:
+    """What the control task works with."""
+
+    fleet: fleet.Fleet
+    view: view.LiveView
+    evidence: evidence.EvidenceTable
+    client: peers.PeerClient
+    platform: platform.PlatformClient
+    settings: settings.Settings
+    events: events.EventLog
+    clock: clock.Clock
+
+
+class Control:
+    """Owns the fleet state of this daemon."""
+
+    def __init__(self, parts: ControlParts) -> None:
+        """Create the control task; `run` starts its loops."""
+        self.revision = 0
+        self.best_revision = 0
+        self.best_revision_at = ''
+        self._parts = parts
+        self._listed: tuple[str, ...] = tuple(parts.settings.control.seeds)
+        self._round = 0
+        self._fingerprint = ('', float(0))
+        self._unequal: set[str] = set()
+        self._store_down = False
+
+    @property
+    def is_relay(self) -> bool:
+        """Return whether this daemon is a relay of its zone."""
+        own = self._parts.fleet.own
+        members = self._parts.fleet.members
+        return own in roles.relays(own.availability_zone, members)
+
+    async def run(self) -> None:
+        """Run all loops until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._exchange_loop())
+            group.create_task(self._list_loop())
+            group.create_task(self._store_loop())
+
+    def on_exchange(
+        self,
+        request: messages.ExchangeRequest,
+    ) -> messages.ExchangeReply:
+        """Answer a control message of another daemon."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        parts.events.observe(request.clock)
+        sender = identity.Identity(
+            request.instance,
+            request.zone,
+            request.incarnation,
+        )
+        parts.view.on_heartbeat(sender, now, leaving=request.draining)
+        parts.view.on_digest(map(_digest_entry, request.members), now)
+        parts.evidence.take(request.evidence, now)
+        self._note_revision(request.configuration, request.instance)
+        self.refresh_members()
+        return self._reply(request, now)
+
+    def refresh_members(self) -> None:
+        """Derive the members of the fleet from the live view."""
+        parts = self._parts
+        members = parts.view.live(parts.clock.monotonic())
+        leaving = parts.view.leaving_addresses()
+        if members == parts.fleet.members and leaving == parts.fleet.leaving:
+            return
+        if members != parts.fleet.members:
+            parts.events.emit(
+                'members_changed',
+                members=[member.instance for member in members],
+            )
+        parts.fleet.members = members
+        parts.fleet.leaving = leaving
+        parts.fleet.notify()
+
+    def _reply(
+        self,
+        request: messages.ExchangeRequest,
+        now: float,
+    ) -> messages.ExchangeReply:
+        parts = self._parts
+        stamp = parts.fleet.stamp
+        fingerprint = self._own_fingerprint(now)
+        same = fingerprint == request.have_members
+        return messages.ExchangeReply(
+            clock=parts.events.stamp(),
+            age_ms=(now - stamp.sent_at) * _MS_PER_S if stamp else None,
+            store=stamp.store if stamp else 0,
+            terms=tuple(
+                entry
+                for entry in parts.fleet.entries.values()
+                if entry.revision > request.have_store
+            ),
+            configuration=self.revision,
+            members_version=fingerprint,
+            oldest_age_ms=parts.view.oldest_age_ms(now),
+            members=None if same else self._digest(now),
+            leaving=tuple(parts.view.leaving_addresses()),
+            suspected=parts.evidence.suspected(now),
+            evidence=parts.evidence.everything(now) if request.relay else (),
+        )
+
+    async def _exchange_loop(self) -> None:
+        interval_s = self._parts.settings.control.exchange_interval_ms
+        interval_s /= _MS_PER_S
+        while True:
+            started = self._parts.clock.monotonic()
+            self._round += 1
+            self.refresh_members()
+            targets = self._targets()
+            await asyncio.gather(*map(self._exchange, targets))
+            self.refresh_members()
+            spent = self._parts.clock.monotonic() - started
+            # Jitter keeps daemons that started together from staying so.
+            pause = interval_s * random.uniform(0.9, 1.1)  # noqa: S311
+            await asyncio.sleep(max(pause - spent, 0))
+
+    def _targets(self) -> tuple[str, ...]:
+        own = self._parts.fleet.own
+        members = self._parts.fleet.members
+        relays = roles.relays(own.availability_zone, members)
+        if own in relays:
+            chosen = self._relay_targets(relays)
+        else:
+            chosen = (
+                [relays[self._round % 8 == 0].instance]
+                if len(
+                    relays,
+                )
+                > 1
+                else [relay.instance for relay in relays]
+            )
+        if self._round % DISCOVERY_ROUNDS == 1 and self._listed:
+            known = {member.instance for member in members}
+            unknown = [
+                address
+                for address in self._listed
+                if address not in known and address != own.instance
+            ]
+            if unknown:
+                chosen.append(random.choice(unknown))  # noqa: S311
+        return tuple(dict.fromkeys(chosen))
+
+    def _relay_targets(self, relays: roles.Selected) -> list[str]:
+        own = self._parts.fleet.own
+        members = self._parts.fleet.members
+        zones = {member.availability_zone for member in members}
+        chosen = [relay.instance for relay in relays if relay != own]
+        for zone in sorted(zones - {own.availability_zone}):
+            others = roles.relays(zone, members)
+            chosen.append(others[self._round % len(others)].instance)
+        return chosen
+
+    async def _exchange(self, instance: str) -> None:
+        parts = self._parts
+        sent_at = parts.clock.monotonic()
+        answered = await parts.client.call(
+            instance,
+            'peer/exchange',
+            messages.EXCHANGE_REQUEST.dump_json(
+                self._request(instance, sent_at),
+            ),
+            parts.settings.control.request_timeout_ms,
+        )
+        if answered.is_err():
+            return
+        decoded = messages.decode(messages.EXCHANGE_REPLY, answered.unwrap())
+        match decoded:
+            case result.Ok(reply):
+                self._take(instance, reply, sent_at)
+            case result.Err(message):
+                _LOG.warning('answer of {0} refused: {1}', instance, message)
+
+    def _request(
+        self,
+        instance: str,
+        now: float,
+    ) -> messages.ExchangeRequest:
+        parts = self._parts
+        stamp = parts.fleet.stamp
+        relay = self.is_relay
+        if relay:
+            found = parts.evidence.everything(now)
+        else:
+            found = parts.evidence.own(now, parts.fleet.suspected_groups)
+        differs = instance in self._unequal
+        return messages.ExchangeRequest(
+            instance=parts.fleet.own.instance,
+            incarnation=parts.fleet.own.incarnation,
+            zone=parts.fleet.own.availability_zone,
+            clock=parts.events.stamp(),
+            have_store=stamp.store if stamp else 0,
+            have_members=self._own_fingerprint(now),
+            configuration=self.revision,
+            relay=relay,
+            draining=parts.fleet.draining,
+            evidence=found,
+            members=self._digest(now) if relay and differs else (),
+        )
+
+    def _take(
+        self,
+        instance: str,
+        reply: messages.ExchangeReply,
+        sent_at: float,
+    ) -> None:
+        parts = self._parts
+        parts.events.observe(reply.clock)
+        if reply.age_ms is not None:
+            rate = 1 + parts.settings.terms.clock_rate_error
+            read_at = sent_at - reply.age_ms * rate / _MS_PER_S
+            self.take_terms(reply.terms, fleet.Stamp(reply.store, read_at))
+        if reply.members is None:
+            self._unequal.discard(instance)
+            parts.view.on_confirmed(
+                reply.members_version,
+                reply.oldest_age_ms,
+                sent_at,
+            )
+        else:
+            self._unequal.add(instance)
+            parts.view.on_digest(map(_digest_entry, reply.members), sent_at)
+        if not self.is_relay:
+            parts.view.on_leaving(reply.leaving)
+            parts.fleet.suspected_groups = frozenset(reply.suspected)
+        parts.evidence.take(reply.evidence, sent_at)
+        self._note_revision(reply.configuration, instance)
+
+    def take_terms(
+        self,
+        entries: abc.Iterable[messages.TermEntry],
+        stamp: fleet.Stamp,
+    ) -> None:
+        """Take term records and note the changes in the time line."""
+        for record in self._parts.fleet.take_terms(entries, stamp):
+            self._parts.events.emit(
+                'term_learned',
+                group=record.group,
+                term=record.term,
+                state=record.state,
+                primary=record.primary,
+            )
+
+    def _note_revision(self, revision: int, instance: str) -> None:
+        if revision > self.best_revision:
+            self.best_revision = revision
+            self.best_revision_at = instance
+            self._parts.fleet.notify()
+
+    async def _list_loop(self) -> None:
+        interval_s = self._parts.settings.control.list_interval_ms / _MS_PER_S
+        while True:
+            alone = len(self._parts.fleet.members) < 2
+            if self.is_relay or alone:
+                await self._read_list()
+            await asyncio.sleep(interval_s)
+
+    async def _read_list(self) -> None:
+        match await self._parts.platform.instances():
+            case result.Ok(listed):
+                now = self._parts.clock.monotonic()
+                self._parts.view.on_list(listed.instances, now)
+                self._listed = tuple(
+                    entry.address
+                    for entry in listed.instances
+                    if entry.kind is view.InstanceKind.entry
+                )
+                self.refresh_members()
+
+    async def _store_loop(self) -> None:
+        options = self._parts.settings.control
+        interval_s = options.store_poll_interval_ms / _MS_PER_S
+        failures = 0
+        while True:
+            if self.is_relay:
+                read = await self._read_terms()
+                failures = 0 if read else failures + 1
+            # After an outage the readers must not come back all at once.
+            backoff = min(2**failures, 8) if failures else 1
+            spread = random.uniform(0.9, 1.1)  # noqa: S311
+            await asyncio.sleep(interval_s * backoff * spread)
+
+    async def _read_terms(self) -> bool:
+        parts = self._parts
+        sent_at = parts.clock.monotonic()
+        known = parts.fleet.stamp.store if parts.fleet.stamp else 0
+        match await parts.platform.range(GROUP_PREFIX, known):
+            case result.Ok(changes):
+                entries = [
+                    messages.TermEntry(group, entry.value, entry.revision)
+                    for entry in changes.entries
+                    if (group := _group_of(entry.key))
+                ]
+                self.take_terms(entries, fleet.Stamp(changes.revision, sent_at))
+                self._note_store(down=False)
+                return True
+            case result.Err(_):
+                self._note_store(down=True)
+        return False
+
+    def _note_store(self, *, down: bool) -> None:
+        if down != self._store_down:
+            self._store_down = down
+            kind = 'store_unreachable' if down else 'store_reachable'
+            self._parts.events.emit(kind)
+            _LOG.info(kind.replace('_', ' '))
+
+    def _digest(self, now: float) -> tuple[messages.MemberEntry, ...]:
+        return tuple(
+            messages.MemberEntry(
+                entry.identity.instance,
+                entry.identity.availability_zone,
+                entry.identity.incarnation,
+                entry.age_ms,
+                entry.leaving,
+            )
+            for entry in self._parts.view.digest(now)
+        )
+
+    def _own_fingerprint(self, now: float) -> str:
+        text, made_at = self._fingerprint
+        if not text or now - made_at > FINGERPRINT_CACHE_S:
+            text = self._parts.view.fingerprint(now)
+            self._fingerprint = (text, now)
+        return text
+
+
+def _digest_entry(member: messages.MemberEntry) -> view.DigestEntry:
+    return view.DigestEntry(
+        identity.Identity(member.instance, member.zone, member.incarnation),
+        member.age_ms,
+        member.leaving,
+    )
+
+
+def _group_of(key: str) -> str:
+    if not key.startswith(GROUP_PREFIX) or not key.endswith(TERM_SUFFIX):
+        return ''
+    return key[len(GROUP_PREFIX) : -len(TERM_SUFFIX)]
--- /dev/null
+++ b/celeryrelay/daemon/forwarding.py
@@ -0,0 +1,95 @@
+"""Delivery of statements to the holders of a slot."""
+
+import dataclasses
+from collections import abc
+
+from celeryrelay.adapters import peers
+from celeryrelay.conf import sets, settings
+from celeryrelay.core import messages, outcomes
+from celeryrelay.daemon import fleet, holders
+from celeryrelay.timeline import events
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivery:
+    """A statement and where it goes."""
+
+    slot: sets.Slot
+    request: messages.StatementRequest
+    preference: int = 0
+
+
+class Forwarder:
+    """Sends statements to a holder, this daemon's own or a peer's."""
+
+    def __init__(
+        self,
+        known: fleet.Fleet,
+        own: holders.HolderTable,
+        client: peers.PeerClient,
+        log: events.EventLog,
+    ) -> None:
+        """Create a forwarder for the fleet as `known`."""
+        self._fleet = known
+        self._own = own
+        self._client = client
+        self._events = log
+
+    def instances(self, delivery: Delivery) -> tuple[str, ...]:
+        """Return the holders of the delivery's slot, preferred first.
+
+        This daemon itself goes first, because it saves a hop.
+        """
+        found = self._fleet.holders(delivery.request.group, delivery.slot)
+        own = self._fleet.own.instance
+        if own in found:
+            others = tuple(name for name in found if name != own)
+            return (own, *others)
+        shift = delivery.preference % len(found) if found else 0
+        return (*found[shift:], *found[:shift])
+
+    async def send(
+        self,
+        instance: str,
+        delivery: Delivery,
+        options: settings.StatementSettings,
+    ) -> abc.AsyncGenerator[messages.Line | peers.PeerFault, None]:
+        """Send a statement to one holder and yield its answer."""
+        if instance == self._fleet.own.instance:
+            async for line in self._own.statement(delivery.request):
+                yield line
+            return
+        request = dataclasses.replace(
+            delivery.request,
+            clock=self._events.stamp(),
+        )
+        answer = self._client.statement(
+            instance,
+            request,
+            options.progress_timeout_ms,
+        )
+        try:
+            async for part in answer:
+                if isinstance(part, messages.LAST_LINES):
+                    self._events.observe(part.clock)
+                yield part
+        finally:
+            await answer.aclose()
+
+
+def not_delivered(
+    fault: peers.PeerFault,
+    *,
+    write: bool,
+) -> outcomes.NotRun | outcomes.OutcomeUnknown:
+    """Return what may be said of a statement whose answer is missing."""
+    if write and fault.sent:
+        return outcomes.OutcomeUnknown(
+            outcomes.Reason.connection_lost,
+            'connection to the holder lost: {0}'.format(fault.message),
+        )
+    return outcomes.NotRun(
+        reason=outcomes.Reason.no_holder,
+        message='holder did not answer: {0}'.format(fault.message),
+        retry_after_ms=100,
+    )
--- /dev/null
+++ b/celeryrelay/daemon/probes.py
@@ -0,0 +1,116 @@
+"""Probing of one slot over a connection of its own."""
+
+import asyncio
+import dataclasses
+
+import result
+
+from celeryrelay.adapters import backends
+from celeryrelay.conf import settings
+from celeryrelay.core import clock, identity
+from celeryrelay.terms import detection
+
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotStatus:
+    """A slot's answer to `group_status`.
+
+    Attributes:
+        sent_at: Monotonic send time of the call, in seconds.
+    """
+
+    term: int
+    role: str
+    log_term: int
+    applied: int
+    sent_at: float
+
+
+class SlotProbe:
+    """Calls `group_status` on one slot at a fixed interval."""
+
+    def __init__(
+        self,
+        address: backends.Address,
+        options: settings.TermSettings,
+        ticker: clock.Clock,
+        own: identity.Identity,
+    ) -> None:
+        """Create a probe; `run` has to be started as a task."""
+        self.address = address
+        self.status: SlotStatus | None = None
+        self.history = detection.ProbeHistory(
+            own.availability_zone,
+            own.instance,
+        )
+        self._options = options
+        self._clock = ticker
+        self._connection: backends.BackendConnection | None = None
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        interval_s = self._options.probe_interval_ms / _MS_PER_S
+        try:
+            while True:
+                started = self._clock.monotonic()
+                answered = await self.probe()
+                self.history.on_probe(answered, self._clock.monotonic())
+                spent = self._clock.monotonic() - started
+                await asyncio.sleep(max(interval_s - spent, 0))
+        finally:
+            self._disconnect()
+
+    async def probe(self) -> bool:
+        """Call the slot once and return whether it answered.
+
+        A slow slot still counts as alive: the deadline is the whole span of
+        failed probes, not one interval.
+        """
+        match await self._connected():
+            case result.Ok(connection):
+                return await self._call(connection)
+            case result.Err(failure):
+                # A server that refuses one more connection is alive.
+                return failure.code != 0
+
+    async def _call(self, connection: backends.BackendConnection) -> bool:
+        sent_at = self._clock.monotonic()
+        answered = await connection.query(
+            'CALL group_status()',
+            self._options.probe_span_ms,
+        )
+        match answered:
+            case result.Ok([(_, term, role, log_term, applied), *_]):
+                self.status = SlotStatus(
+                    term=int(term),
+                    role=str(role),
+                    log_term=int(log_term),
+                    applied=int(applied),
+                    sent_at=sent_at,
+                )
+                return True
+            case _:
+                self._disconnect()
+                return False
+
+    async def _connected(
+        self,
+    ) -> result.Result[
+        backends.BackendConnection,
+        backends.ConnectFailure,
+    ]:
+        if self._connection is not None and self._connection.healthy:
+            return result.Ok(self._connection)
+        connected = await backends.connect(
+            self.address,
+            self._options.probe_span_ms,
+        )
+        self._connection = connected.ok()
+        return connected
+
+    def _disconnect(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
--- a/standins/database/procedures.py
+++ b/standins/database/procedures.py
@@ -91,7 +91,8 @@
             if slot.term > term or remaining <= 0:
                 break
             await slot.changed.wait(remaining)
-        return self._position()
+        columns = ('term', 'log_term', 'applied')
+        return columns, [(slot.term, slot.log_term, len(slot.log))]
 
     async def _fetch(self, term: int, offset: int, limit: int) -> Table:
         slot = self._slot
