--- /dev/null
+++ b/celeryrelay/admission/queue.py
@@ -0,0 +1,166 @@
+"""Admission queue of one slot."""
+
+import dataclasses
+import random
+from collections import abc
+
+from celeryrelay.admission import backlog, decisions, limits
+from celeryrelay.conf import sets
+from celeryrelay.core import errors, outcomes, ranks
+
+Ticket = decisions.Ticket
+Start = decisions.Start
+Wait = decisions.Wait
+Refuse = decisions.Refuse
+Tuning = backlog.Tuning
+
+_MEASURED_TUNING = Tuning()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    rank: ranks.Rank
+    started: float
+    charged_ms: float
+
+
+class AdmissionQueue:
+    """Decides which ticket uses a connection of one slot, and when.
+
+    A ticket covers a whole transaction: between `Start` and `release` its
+    statements do not queue again.
+    """
+
+    def __init__(
+        self,
+        policies: abc.Mapping[ranks.Rank, sets.RankPolicy],
+        limit: limits.AdaptiveLimit,
+        seed: int | random.Random,
+        tuning: Tuning = _MEASURED_TUNING,
+    ) -> None:
+        """Serve the ranks of `policies`.
+
+        Args:
+            policies: Policy of each rank.
+            limit: Concurrency limit, updated by the queue.
+            seed: Seed or source of the jitter.
+            tuning: Settings chosen by measurement.
+        """
+        self._limit = limit
+        self._tuning = tuning
+        source = (
+            seed if isinstance(seed, random.Random) else random.Random(seed)
+        )
+        self._backlog = backlog.Backlog(policies, source, tuning)
+        self._running: dict[int | str, _Running] = {}
+
+    @property
+    def running(self) -> int:
+        """Return the number of started tickets."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting tickets."""
+        return sum(map(len, self._backlog.queues.values()))
+
+    def offer(self, ticket: Ticket, now: float) -> Start | Wait | Refuse:
+        """Start a new ticket, let it wait, or refuse it."""
+        limit = self._limit.current
+        queue = self._backlog.queues[ticket.rank]
+        self._backlog.on_arrival(ticket.rank, now)
+        if self._backlog.is_late(ticket, now):
+            return self._backlog.refuse(
+                ticket,
+                outcomes.Reason.deadline,
+                limit,
+            )
+        if not queue:
+            self._backlog.shares.activate(ticket.rank)
+            if self._has_place(ticket.rank):
+                return self._start(ticket, now)
+        if self._backlog.is_hopeless(ticket, now, limit):
+            return self._backlog.refuse(
+                ticket,
+                outcomes.Reason.overload,
+                limit,
+            )
+        queue.push(ticket)
+        return Wait(ticket.ticket_id)
+
+    def release(
+        self,
+        ticket_id: int | str,
+        now: float,
+        service_ms: float,
+        ok: bool,
+    ) -> list[Start | Refuse]:
+        """End a started ticket and start those that follow.
+
+        Args:
+            ticket_id: The ticket.
+            now: Monotonic time in seconds.
+            service_ms: Time that the backend server took, without the
+                caller's own pauses inside a transaction.
+            ok: False if the backend server refused the connection, closed it
+                or did not answer in time. An SQL error is a normal answer.
+
+        Raises:
+            InvariantError: The ticket is not running.
+        """
+        ended = self._running.pop(ticket_id, None)
+        if ended is None:
+            raise errors.InvariantError(
+                'ticket {0} is not running'.format(ticket_id),
+            )
+        self._backlog.shares.charge(
+            ended.rank,
+            (now - ended.started) * 1000 - ended.charged_ms,
+        )
+        estimate = self._backlog.estimates[ended.rank]
+        if ok:
+            estimate.on_sample(service_ms)
+        self._limit.on_sample(estimate.relative_ms(service_ms), ok, now)
+        return self._fill(now)
+
+    def expire(self, now: float) -> list[Refuse]:
+        """Refuse the waiting tickets that can't meet their deadline."""
+        return self._backlog.drop_late(now, self._limit.current)
+
+    def cancel(self, ticket_id: int | str) -> None:
+        """Forget a waiting ticket whose caller has gone.
+
+        A started ticket still holds its connection and ends with `release`.
+        """
+        for queue in self._backlog.queues.values():
+            queue.remove(ticket_id)
+
+    def _fill(self, now: float) -> list[Start | Refuse]:
+        found: list[Start | Refuse] = list(self.expire(now))
+        open_ranks = self._open_ranks()
+        while open_ranks:
+            chosen = self._backlog.choose(open_ranks, now, self._limit.current)
+            ticket = self._backlog.queues[chosen].pop()
+            found.append(self._start(ticket, now))
+            open_ranks = self._open_ranks()
+        return found
+
+    def _open_ranks(self) -> list[ranks.Rank]:
+        return [
+            rank
+            for rank in self._backlog.waiting_ranks()
+            if self._has_place(rank)
+        ]
+
+    def _has_place(self, rank: ranks.Rank) -> bool:
+        limit = self._limit.current
+        if rank is not ranks.URGENCY[0]:
+            limit = max(limit - self._tuning.reserved, 1)
+        return len(self._running) < limit
+
+    def _start(self, ticket: Ticket, now: float) -> Start:
+        rank = ticket.rank
+        expected_ms = self._backlog.estimates[rank].mean_ms
+        self._running[ticket.ticket_id] = _Running(rank, now, expected_ms)
+        self._backlog.shares.charge(rank, expected_ms)
+        return Start(ticket.ticket_id)
--- /dev/null
+++ b/celeryrelay/admission/shares.py
@@ -0,0 +1,53 @@
+"""Weighted shares of the connection time by rank."""
+
+from collections import abc
+
+from celeryrelay.conf import sets
+from celeryrelay.core import ranks
+
+# Connection time that a rank may run ahead of its share and has to give back
+# later, in milliseconds per unit of share.
+MAX_LEAD_MS = 200
+
+
+class FairShares:
+    """Chooses the rank that is furthest behind its share.
+
+    Each rank has a virtual time: the connection time that it used divided by
+    its share. A rank that had nothing to do starts again at the virtual time
+    of the others and can't save up.
+    """
+
+    def __init__(
+        self,
+        policies: abc.Mapping[ranks.Rank, sets.RankPolicy],
+    ) -> None:
+        """Use the shares of `policies`."""
+        self._shares = {rank: policy.share for rank, policy in policies.items()}
+        self._used: dict[ranks.Rank, float] = dict.fromkeys(policies, 0)
+        self._virtual_ms: float = 0
+
+    def activate(self, rank: ranks.Rank) -> None:
+        """Let `rank` compete, after it had nothing to do."""
+        self._used[rank] = max(self._used[rank], self._virtual_ms)
+
+    def choose(self, waiting: abc.Iterable[ranks.Rank]) -> ranks.Rank:
+        """Return the rank among `waiting` that is furthest behind."""
+        chosen = min(waiting, key=self._used.__getitem__)
+        self._virtual_ms = max(self._virtual_ms, self._used[chosen])
+        return chosen
+
+    def charge(self, rank: ranks.Rank, connection_ms: float) -> None:
+        """Add connection time to `rank`; a negative one corrects a charge."""
+        used = self._used[rank] + connection_ms / self._shares[rank]
+        self._used[rank] = min(used, self._virtual_ms + MAX_LEAD_MS)
+
+    def fraction(
+        self,
+        rank: ranks.Rank,
+        competing: abc.Iterable[ranks.Rank],
+    ) -> float:
+        """Return the part of `rank` when it competes with `competing`."""
+        everyone = {rank, *competing}
+        total = sum(self._shares[other] for other in everyone)
+        return self._shares[rank] / total
--- /dev/null
+++ b/tests/admission/test_budget.py
@@ -0,0 +1,31 @@
+"""Guards against retries that multiply the load of an overload."""
+
+import hypothesis
+from hypothesis import strategies
+
+from celeryrelay.admission import budget
+
+SETTINGS = hypothesis.settings(derandomize=True, max_examples=200)
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(strategies.booleans(), max_size=300))
+def test_retries_stay_below_the_ratio_and_the_burst(events):
+    retries = budget.RetryBudget(ratio=0.25, burst=4)
+    requests = permitted = 0
+    for is_request in events:
+        if is_request:
+            requests += 1
+            retries.on_request()
+        else:
+            permitted += retries.take()
+        assert permitted <= 4 + requests * 0.25
+
+
+def test_retry_is_permitted_again_after_enough_requests():
+    retries = budget.RetryBudget(ratio=0.25, burst=1)
+    assert retries.take()
+    assert not retries.take()
+    for _ in range(4):
+        retries.on_request()
+    assert retries.take()
--- /dev/null
+++ b/tests/admission/test_queue.py
@@ -0,0 +1,266 @@
+"""Guards against tickets that are lost, served twice or served too late.
+
+The naive check replays every decision against a plain record of all tickets.
+"""
+
+import heapq
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from celeryrelay.admission import limits, queue
+from celeryrelay.conf import sets
+from celeryrelay.core import errors, outcomes, ranks
+
+SETTINGS = hypothesis.settings(derandomize=True, max_examples=150)
+
+
+def policy(rank, target_ms, deadline_ms, share):
+    return sets.RankPolicy(
+        rank,
+        target_ms,
+        deadline_ms,
+        share,
+        1,
+        sets.Durability.local,
+    )
+
+
+POLICIES = {
+    ranks.Rank.bookings: policy(ranks.Rank.bookings, 50, 500, 5),
+    ranks.Rank.checks: policy(ranks.Rank.checks, 100, 1000, 3),
+    ranks.Rank.reports: policy(ranks.Rank.reports, 1000, 2000, 2),
+}
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ['offer', 'offer', 'release', 'expire', 'cancel']
+        ),
+        strategies.sampled_from(list(ranks.Rank)),
+        strategies.integers(0, 120),
+        strategies.booleans(),
+        strategies.integers(0, 3),
+    ),
+    max_size=80,
+)
+
+
+class Record:
+    """Plain record of each ticket's state."""
+
+    def __init__(self, admission, limit):
+        self.admission = admission
+        self.limit = limit
+        self.deadlines = {}
+        self.states = {}
+
+    def of_state(self, state):
+        return [key for key, found in self.states.items() if found == state]
+
+    def apply(self, decisions, now, limit_before):
+        for decision in decisions:
+            key = decision.ticket_id
+            assert self.states[key] in {'new', 'waiting'}
+            match decision:
+                case queue.Start():
+                    assert now < self.deadlines[key]
+                    self.states[key] = 'running'
+                case queue.Wait():
+                    assert self.states[key] == 'new'
+                    self.states[key] = 'waiting'
+                case queue.Refuse():
+                    assert decision.retry_after_ms > 0
+                    self.states[key] = 'refused'
+        running = len(self.of_state('running'))
+        assert running <= max(limit_before, self.limit.current)
+        assert self.admission.running == running
+        assert self.admission.waiting == len(self.of_state('waiting'))
+        if self.of_state('waiting'):
+            assert running >= self.limit.current - 1 >= 0
+            assert running >= 1
+
+    def offer(self, rank, now, duration):
+        key = len(self.states)
+        self.states[key] = 'new'
+        self.deadlines[key] = now + duration
+        ticket = queue.Ticket(key, rank, now, now + duration)
+        self.apply([self.admission.offer(ticket, now)], now, 0)
+        assert self.states[key] != 'new'
+
+    def release(self, now, service_ms, ok):
+        running = self.of_state('running')
+        if running:
+            before = self.admission.running - 1
+            self.states[running[0]] = 'done'
+            found = self.admission.release(running[0], now, service_ms, ok)
+            self.apply(found, now, before)
+
+    def cancel(self, now):
+        waiting = self.of_state('waiting')
+        if waiting:
+            self.states[waiting[-1]] = 'cancelled'
+            self.admission.cancel(waiting[-1])
+            self.apply([], now, self.admission.running)
+
+
+def new_queue(maximum, tuning=queue.Tuning()):
+    limit = limits.AdaptiveLimit(1, maximum)
+    return queue.AdmissionQueue(POLICIES, limit, 7, tuning), limit
+
+
+@SETTINGS
+@hypothesis.given(
+    STEPS,
+    strategies.integers(1, 4),
+    strategies.integers(0, 1),
+    strategies.sampled_from([0, 1, 2]),
+)
+def test_every_ticket_has_exactly_one_end(steps, maximum, reserved, margin):
+    tuning = queue.Tuning(reserved, margin)
+    admission, limit = new_queue(maximum, tuning)
+    record = Record(admission, limit)
+    now = 0.0
+    for action, rank, gap_ms, ok, extra in steps:
+        now += gap_ms / 1000
+        match action:
+            case 'offer':
+                duration = POLICIES[rank].deadline_ms / 1000 / (1 + extra)
+                record.offer(rank, now, duration)
+            case 'release':
+                record.release(now, gap_ms * (1 + extra), ok)
+            case 'expire':
+                before = admission.running
+                record.apply(admission.expire(now), now, before)
+                waiting = record.of_state('waiting')
+                assert all(record.deadlines[key] > now for key in waiting)
+            case 'cancel':
+                record.cancel(now)
+    while record.of_state('running'):
+        now += 0.01
+        record.release(now, 10, ok=True)
+    assert not record.of_state('waiting')
+    assert not record.of_state('new')
+
+
+class Flood:
+    """Feeds one queue with open-loop arrivals of constant service time."""
+
+    def __init__(self, maximum, service_ms=20):
+        self.admission, self.limit = new_queue(maximum)
+        self.service_ms = service_ms
+        self.ends = []
+        self.arrived = {}
+        self.ranks = {}
+        self.waits = {rank: [] for rank in ranks.Rank}
+        self.refused = []
+
+    def run(self, rates, duration, seed=1):
+        source = random.Random(seed)
+        arrivals = []
+        for rank, rate in rates.items():
+            at = source.expovariate(rate)
+            while at < duration:
+                arrivals.append((at, rank))
+                at += source.expovariate(rate)
+        for now, rank in sorted(arrivals):
+            self.finish_until(now)
+            key = len(self.ranks)
+            self.ranks[key] = rank
+            self.arrived[key] = now
+            deadline = now + POLICIES[rank].deadline_ms / 1000
+            ticket = queue.Ticket(key, rank, now, deadline)
+            self.apply([self.admission.offer(ticket, now)], now)
+
+    def finish_until(self, now):
+        while self.ends and self.ends[0][0] <= now:
+            at, key = heapq.heappop(self.ends)
+            found = self.admission.release(key, at, self.service_ms, ok=True)
+            self.apply(found, at)
+
+    def apply(self, decisions, now):
+        for decision in decisions:
+            key = decision.ticket_id
+            match decision:
+                case queue.Start():
+                    self.waits[self.ranks[key]].append(now - self.arrived[key])
+                    end = now + self.service_ms / 1000
+                    heapq.heappush(self.ends, (end, key))
+                case queue.Refuse():
+                    self.refused.append(decision)
+
+
+# Four places and 20 ms: the capacity is 200 tickets per second.
+CAPACITY = 200
+
+
+@pytest.mark.parametrize('flooding', list(ranks.Rank))
+def test_each_rank_keeps_its_share_when_one_floods(flooding):
+    flood = Flood(4)
+    rates = dict.fromkeys(ranks.Rank, CAPACITY * 2)
+    rates[flooding] = CAPACITY * 10
+    flood.run(rates, duration=20)
+    total = sum(map(len, flood.waits.values()))
+    assert total >= CAPACITY * 20 * 0.95
+    for rank in ranks.Rank:
+        part = len(flood.waits[rank]) / total
+        assert part == pytest.approx(POLICIES[rank].share / 10, abs=0.05)
+
+
+@pytest.mark.parametrize(
+    'flooding',
+    [
+        [ranks.Rank.checks],
+        [ranks.Rank.reports],
+        [ranks.Rank.checks, ranks.Rank.reports],
+    ],
+)
+def test_bookings_within_capacity_keep_their_target(flooding):
+    flood = Flood(4)
+    rates = {rank: CAPACITY * 10 for rank in flooding}
+    rates[ranks.Rank.bookings] = CAPACITY * 0.7
+    flood.run(rates, duration=20)
+    waits = sorted(flood.waits[ranks.Rank.bookings])
+    assert len(waits) >= CAPACITY * 0.7 * 20 * 0.9
+    target = POLICIES[ranks.Rank.bookings].target_ms / 1000
+    assert waits[int(len(waits) * 0.99)] <= target
+
+
+def test_overload_is_refused_early_with_a_jittered_hint():
+    flood = Flood(4)
+    flood.run({ranks.Rank.checks: CAPACITY * 10}, duration=5)
+    early = [
+        refused
+        for refused in flood.refused
+        if refused.reason is outcomes.Reason.overload
+    ]
+    assert len(early) > len(flood.refused) * 0.9
+    hints = {refused.retry_after_ms for refused in early}
+    assert len(hints) > 100
+    assert max(hints) > min(hints) * 2
+
+
+def test_the_same_seed_gives_the_same_decisions():
+    floods = [Flood(4), Flood(4)]
+    for flood in floods:
+        flood.run({ranks.Rank.checks: CAPACITY * 3}, duration=2)
+    assert floods[0].refused == floods[1].refused
+
+
+def test_an_empty_queue_takes_a_ticket_in_spite_of_a_high_estimate():
+    admission, _ = new_queue(1)
+    for key, rank in ((1, 'reports'), (2, 'checks')):
+        ticket = queue.Ticket(key, ranks.Rank(rank), 0, 2)
+        admission.offer(ticket, 0)
+        admission.cancel(2)
+    admission.release(1, 1, 60_000, ok=True)
+    admission.offer(queue.Ticket(3, ranks.Rank.checks, 1, 2), 1)
+    ticket = queue.Ticket(4, ranks.Rank.reports, 1, 3)
+    assert admission.offer(ticket, 1) == queue.Wait(4)
+
+
+def test_release_of_an_unknown_ticket_is_a_broken_invariant():
+    admission, _ = new_queue(1)
+    with pytest.raises(errors.InvariantError):
+        admission.release(1, 0, 1, ok=True)
