--- a/celeryrelay/conf/loader.py
+++ b/celeryrelay/conf/loader.py
@@ -1,9 +1,11 @@
 """Loading of JSON files with comments."""
 
+import contextlib
 import pathlib
 import typing
 
 import json5
+import orjson
 import pydantic
 import result
 
@@ -11,11 +13,17 @@
 
 
 def read_file(path: str) -> result.Result[typing.Any, str]:
-    """Return the parsed content of the JSON5 file at `path`."""
+    """Return the parsed content of the JSON5 file at `path`.
+
+    Plain JSON is recognised first: the JSON5 parser needs 22 s for an object
+    set of 750 databases.
+    """
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         return result.Err('{0}: cannot be read: {1}'.format(path, error))
+    with contextlib.suppress(orjson.JSONDecodeError):
+        return result.Ok(orjson.loads(text))
     try:
         return result.Ok(json5.loads(text))
     except (ValueError, RecursionError) as error:
--- /dev/null
+++ b/celeryrelay/management/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the operators' program."""
--- /dev/null
+++ b/celeryrelay/management/ctl/publishing.py
@@ -0,0 +1,170 @@
+"""Subcommand `publish`."""
+
+import asyncio
+import typing
+import uuid
+
+import result
+
+from celeryrelay.adapters import platform
+from celeryrelay.configuration import documents, publication, steps
+from celeryrelay.management.ctl import objects, options, replies, store
+
+
+async def publish(chosen: options.Options) -> replies.Reply:
+    """Check an object file and publish it."""
+    refusal = store.refuse_without_platform(chosen)
+    if refusal:
+        return refusal
+    read = objects.read_objects(chosen.arguments[0])
+    if read.is_err():
+        return read.unwrap_err()
+    request = steps.Request(
+        publication=str(uuid.uuid4()),
+        raw=read.unwrap(),
+        base_revision=chosen.base_revision,
+        above_revision=chosen.above_revision,
+    )
+    async with store.connect(chosen) as client:
+        outcome = await run(client, publication.Publication(request))
+    return _describe(outcome)
+
+
+async def run(
+    client: platform.PlatformClient,
+    machine: publication.Publication,
+) -> steps.Outcome:
+    """Carry out the commands of `machine` until it finishes."""
+    command = machine.start()
+    while True:
+        match command:
+            case steps.Finish(outcome):
+                return outcome
+            case steps.Read(delay_ms):
+                await _sleep(delay_ms)
+                event = _to_event(await client.get(documents.KEY))
+            case steps.Write(value, expected, delay_ms):
+                await _sleep(delay_ms)
+                written = await client.put(documents.KEY, value, expected)
+                event = _to_event(written)
+        command = machine.handle(event)
+
+
+async def _sleep(delay_ms: int) -> None:
+    await asyncio.sleep(delay_ms / 1000)
+
+
+def _to_event(
+    answer: result.Result[
+        platform.Entry | platform.Written,
+        platform.PlatformFailure,
+    ],
+) -> steps.Event:
+    match answer:
+        case result.Ok(platform.Entry() as entry):
+            return steps.Found(entry.value, entry.revision)
+        case result.Ok():
+            return steps.Stored()
+        case result.Err(failure):
+            return _to_failure(failure)
+
+
+def _to_failure(failure: platform.PlatformFailure) -> steps.Event:
+    match failure:
+        # Revision 0 stands for an absent key.
+        case platform.Missing() | platform.Conflict(platform.Entry(revision=0)):
+            return steps.Absent()
+        case platform.Conflict(entry):
+            return steps.Found(entry.value, entry.revision)
+        case platform.Unreachable(message):
+            return steps.Failed(message, may_have_taken_effect=False)
+        case platform.AnswerLost(message):
+            return steps.Failed(message, may_have_taken_effect=True)
+        case platform.Refused(status, message):
+            return steps.Failed(
+                'status {0}: {1}'.format(status, message),
+                may_have_taken_effect=status >= store.SERVER_ERROR,
+                final=(
+                    status < store.SERVER_ERROR
+                    and status != store.TOO_MANY_REQUESTS
+                ),
+            )
+
+
+def _describe(outcome: steps.Outcome) -> replies.Reply:
+    match outcome:
+        case steps.Published():
+            return _describe_published(outcome)
+        case steps.Unchanged(revision):
+            return replies.Reply(
+                replies.ExitCode.ok,
+                ('nothing to publish: revision {0} is equal'.format(revision),),
+                {'revision': revision, 'differences': []},
+            )
+        case steps.LostRace():
+            return _describe_lost(outcome)
+        case steps.Rejected(message):
+            text = 'nothing was published: {0}'.format(message)
+            return replies.failure(replies.ExitCode.refused, text)
+        case steps.Unreached(message):
+            text = 'nothing was published: the platform is not reachable: {0}'
+            return replies.failure(
+                replies.ExitCode.unreachable,
+                text.format(message),
+            )
+        case steps.Unsettled(publication_id, message):
+            return _describe_unsettled(publication_id, message)
+
+
+def _describe_published(outcome: steps.Published) -> replies.Reply:
+    lines = [str(one) for one in outcome.differences]
+    lines.append('published as revision {0}'.format(outcome.revision))
+    if outcome.replaced_by:
+        lines.append(
+            'it has been replaced: revision {0} is in force'.format(
+                outcome.replaced_by,
+            ),
+        )
+    return replies.Reply(
+        replies.ExitCode.ok,
+        tuple(lines),
+        {
+            'revision': outcome.revision,
+            'replaced_by': outcome.replaced_by,
+            'differences': objects.as_documents(outcome.differences),
+        },
+    )
+
+
+def _describe_lost(outcome: steps.LostRace) -> replies.Reply:
+    lines: list[typing.Any] = [
+        'nothing was published: revision {0} is in force'.format(
+            outcome.revision,
+        ),
+        'differences from revision {0} to your file:'.format(outcome.revision),
+    ]
+    lines.extend(outcome.differences)
+    return replies.Reply(
+        replies.ExitCode.lost_race,
+        tuple(map(str, lines)),
+        {
+            'revision': outcome.revision,
+            'publication': outcome.publication,
+            'differences': objects.as_documents(outcome.differences),
+        },
+    )
+
+
+def _describe_unsettled(publication_id: str, message: str) -> replies.Reply:
+    lines = (
+        'the set may be in force or may still come into force: {0}'.format(
+            message,
+        ),
+        'run `celeryrelay-ctl show` when the platform answers; '
+        + 'your publication is {0}'.format(publication_id),
+    )
+    return replies.Reply(
+        replies.ExitCode.unreachable,
+        lines,
+        {'publication': publication_id, 'errors': list(lines)},
+    )
