--- a/celeryrelay/conf/settings.py
+++ b/celeryrelay/conf/settings.py
@@ -15,7 +15,13 @@
 
 
 class ListenSettings(StrictModel):
-    """Addresses that the daemon listens on; port 0 lets the kernel choose."""
+    """Addresses that the daemon listens on; port 0 lets the kernel choose.
+
+    Attributes:
+        host: Address of both listeners.
+        mysql_port: Port for callers.
+        peer_port: Port for other daemons, the load balancer and operators.
+    """
 
     host: str = '127.0.0.1'
     mysql_port: Port = 3306
@@ -23,7 +29,12 @@
 
 
 class TlsSettings(StrictModel):
-    """Certificate and key files for caller connections."""
+    """Certificate and key files for caller connections.
+
+    Attributes:
+        certificate_file: File with the certificate chain in PEM form.
+        key_file: File with the private key in PEM form.
+    """
 
     certificate_file: str
     key_file: str
@@ -147,6 +158,14 @@
         backend_user: User name on backend servers.
         backend_password_file: File with that user's password; empty for none.
         log_level: Least level that is logged.
+        listen: Listeners.
+        tls: Encryption of caller connections; null for none.
+        terms: Terms and failover.
+        control: Control exchange.
+        statements: Statements.
+        drain: Planned stop.
+        account: Account batches.
+        timeline: Event log.
     """
 
     deployment: str
--- a/celeryrelay/management/ctl/objects.py
+++ b/celeryrelay/management/ctl/objects.py
@@ -38,6 +38,12 @@
         case result.Ok(raw):
             counts = {kind: len(raw.get(kind, ())) for kind in objects.KINDS}
     size = documents.size_bytes(raw)
+    if size > documents.SIZE_LIMIT_BYTES:
+        form = '{0}: the set has {1} bytes; up to {2} are allowed'
+        return replies.failure(
+            replies.ExitCode.refused,
+            form.format(path, size, documents.SIZE_LIMIT_BYTES),
+        )
     listed = ', '.join(
         '{0} {1}'.format(count, kind) for kind, count in counts.items()
     )
--- /dev/null
+++ b/tests/conf/test_size.py
@@ -0,0 +1,85 @@
+"""Guards the target of 750 databases in one value of at most 1 MB."""
+
+import json
+
+import pytest
+
+from celeryrelay.conf import checks
+from celeryrelay.configuration import documents
+
+DATABASES = 750
+LIMIT_BYTES = 1_000_000
+RANKS = ('bookings', 'checks', 'reports')
+
+
+def large_set(databases):
+    """Build a set with three slots and three routes for each database."""
+    names = ['bookings-service-{0:03d}'.format(n) for n in range(databases)]
+    return {
+        'ranks': [
+            {
+                'rank': rank,
+                'target_ms': 100,
+                'deadline_ms': 2000,
+                'share': 8,
+                'worth': 10,
+                'durability': 'replicated',
+            }
+            for rank in RANKS
+        ],
+        'stale_read_rules': [
+            {'name': 'street_lists', 'max_age_ms': 5000},
+        ],
+        'database_groups': [
+            {
+                'name': name,
+                'connection_limit': 20,
+                'schema': name.replace('-', '_'),
+                'slots': [
+                    {
+                        'name': slot,
+                        'host': '10.{0}.{1}.{2}'.format(
+                            zone + 101,
+                            number // 250 + 100,
+                            number % 250,
+                        ),
+                        'port': 3306,
+                        'zone': 'bratislava-{0}'.format(zone + 1),
+                    }
+                    for zone, slot in enumerate('abc')
+                ],
+            }
+            for number, name in enumerate(names)
+        ],
+        'routes': [
+            {
+                'name': '{0}-{1}'.format(name, rank),
+                'user': '{0}-callers'.format(rank),
+                'schema': name.replace('-', '_'),
+                'group': name,
+                'rank': rank,
+                'stale_read_rule': 'street_lists',
+                'password_sha256': 'a' * 64,
+            }
+            for name in names
+            for rank in RANKS
+        ],
+    }
+
+
+def test_a_set_of_750_databases_fits_into_one_value(record_property):
+    raw = large_set(DATABASES)
+    assert checks.check_objects(raw).is_ok()
+    value = documents.succeed(None, 'x' * 36, raw)
+    value['previous'] = ['x' * 36] * documents.PREVIOUS_COUNT
+    compact = documents.size_bytes(value)
+    # A platform may count the value with spaces between its parts.
+    spaced = len(json.dumps(value))
+    print('750 databases: {0} bytes, {1} spaced'.format(compact, spaced))
+    record_property('size_bytes', compact)
+    assert spaced < LIMIT_BYTES
+
+
+@pytest.mark.parametrize('databases', [0, 1])
+def test_the_builder_of_the_large_set_is_valid_at_any_size(databases):
+    assert checks.check_objects(large_set(databases)).is_ok()
--- a/tests/management/test_ctl.py
+++ b/tests/management/test_ctl.py
@@ -103,6 +103,16 @@
     } in found
 
 
+def test_check_refuses_a_set_that_does_not_fit_into_the_store(
+    run,
+    monkeypatch,
+):
+    monkeypatch.setattr(documents, 'SIZE_LIMIT_BYTES', 4000)
+    finished = run('check', SAMPLE)
+    assert finished.code == 1
+    assert 'up to 4000 are allowed' in finished.err
+
+
 def test_publish_show_and_diff(run, platform):
     assert run('show', platform.flag).code == 1
     finished = run('publish', SAMPLE, platform.flag, '--json')
