--- a/celeryrelay/configuration/differences.py
+++ b/celeryrelay/configuration/differences.py
@@ -85,9 +85,22 @@
             case (True, True):
                 yield from _compare(below, old[key], new[key])
             case (True, False):
-                yield Removed(below, old[key])
+                yield from _one_sided(Removed, below, old[key])
             case _:
-                yield Added(below, new[key])
+                yield from _one_sided(Added, below, new[key])
+
+
+def _one_sided(
+    difference: type[Added | Removed],
+    path: str,
+    given: typing.Any,
+) -> abc.Iterator[Difference]:
+    """Yield a value of one set only, object by object if it is a list."""
+    if isinstance(given, list) and given:
+        for key, row in _index(given, given)[0].items():
+            yield difference('{0}[{1}]'.format(path, key), row)
+    else:
+        yield difference(path, given)
 
 
 def _differs(old: typing.Any, new: typing.Any) -> bool:
--- a/celeryrelay/configuration/publication.py
+++ b/celeryrelay/configuration/publication.py
@@ -15,7 +15,8 @@
 from celeryrelay.configuration import differences, documents, steps
 from celeryrelay.core import errors
 
-FAILURE_LIMIT = 12
+# Gives up after 7 s if the platform refuses connections.
+FAILURE_LIMIT = 8
 RETRY_DELAY_MS = 100
 RETRY_DELAY_LIMIT_MS = 2000
 
--- a/celeryrelay/management/ctl/publishing.py
+++ b/celeryrelay/management/ctl/publishing.py
@@ -10,6 +10,9 @@
 from celeryrelay.configuration import documents, publication, steps
 from celeryrelay.management.ctl import objects, options, replies, store
 
+# A first publication differs in every object.
+LINE_LIMIT = 20
+
 
 async def publish(chosen: options.Options) -> replies.Reply:
     """Check an object file and publish it."""
@@ -117,7 +120,10 @@
 
 
 def _describe_published(outcome: steps.Published) -> replies.Reply:
-    lines = [str(one) for one in outcome.differences]
+    lines = [str(one) for one in outcome.differences[:LINE_LIMIT]]
+    hidden = len(outcome.differences) - LINE_LIMIT
+    if hidden > 0:
+        lines.append('and {0} more differences'.format(hidden))
     lines.append('published as revision {0}'.format(outcome.revision))
     if outcome.replaced_by:
         lines.append(
