--- a/standins/database/work.py
+++ b/standins/database/work.py
@@ -105,7 +105,7 @@
 
     def savepoint(self, text: str) -> None:
         """Run a savepoint statement, or keep it for the first write."""
-        transaction = self._transaction
+        transaction = self._open_if_needed()
         if transaction is None:
             return
         if transaction.writing:
--- /dev/null
+++ b/tests/standins/test_cluster.py
@@ -0,0 +1,48 @@
+import os
+
+import pytest
+
+from standins.deployment import cluster, shapes
+
+SHAPE = shapes.Shape(
+    zones=('zone-1', 'zone-2'),
+    groups=('group-1',),
+    slots_per_group=2,
+    entries_per_zone=0,
+    init_sql='CREATE TABLE items (id INTEGER PRIMARY KEY);',
+    proxied=frozenset(('slots', 'platform')),
+)
+
+
+async def test_a_failing_block_leaves_nothing_behind():
+    """Guards against processes and files that outlive a failed test."""
+    with pytest.raises(RuntimeError):
+        async with cluster.Cluster(SHAPE) as deployment:
+            pids = [slot.program.pid for slot in deployment.slots.values()]
+            directory = deployment.directory
+            next(iter(deployment.slots.values())).program.suspend()
+            raise RuntimeError
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+    assert not directory.exists()
+
+
+async def test_slots_replicate_and_are_published():
+    """Guards against a deployment whose records don't fit its slots."""
+    async with cluster.Cluster(SHAPE) as deployment:
+        record = await deployment.platform.value('groups/group-1/term')
+        published = await deployment.platform.value('configuration')
+        listed = await deployment.platform.get('/v1/instances')
+        group = published['objects']['database_groups'][0]
+        ports = [slot['port'] for slot in group['slots']]
+        status = await cluster.run_sql(ports[0], 'x', 'CALL group_status()')
+        assert status == ((record['primary'], 1, 'primary', 0, 0),)
+        assert [item['address'] for item in listed['instances']] == [
+            f'127.0.0.1:{port}' for port in ports
+        ]
+        await deployment.proxy.set_faults('group-1-slot-0', silent=True)
+        rows = await deployment.query(
+            'group-1', 'slot-1', 'CALL group_wait(1, 0, 1000)'
+        )
+        assert rows == ((1, 0),)
