--- /dev/null
+++ b/celeryrelay/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and measurement."""
--- /dev/null
+++ b/celeryrelay/load/callers.py
@@ -0,0 +1,148 @@
+"""Connections of the load tool to entry instances."""
+
+import asyncio
+import dataclasses
+import itertools
+import typing
+from collections import abc
+
+import aiomysql
+import pymysql
+
+from celeryrelay.core import outcomes
+from celeryrelay.load import plans, tallies
+
+CONNECT_TIMEOUT_S = 3
+# Codes from 2000 on are reported by the client library: the connection broke.
+CLIENT_CODES = range(2000, 3000)
+CONNECTION_LOST = 2013
+
+Rows = abc.Sequence[abc.Sequence[typing.Any]]
+
+_FAILURES = (
+    pymysql.MySQLError,
+    OSError,
+    EOFError,
+    TimeoutError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Result of a statement with its rows or error."""
+
+    result: tallies.Result
+    rows: Rows = ()
+    code: int = 0
+    message: str = ''
+
+
+def classify(error: BaseException) -> Answer:
+    """Return the answer for an exception after the statement was sent."""
+    arguments = error.args if isinstance(error, pymysql.MySQLError) else ()
+    code = arguments[0] if arguments else CONNECTION_LOST
+    if not isinstance(code, int) or code in CLIENT_CODES or code == 0:
+        code = CONNECTION_LOST
+    message = str(error) or type(error).__name__
+    match code:
+        case outcomes.ERROR_NOT_RUN:
+            result = tallies.Result.not_run
+        case outcomes.ERROR_OUTCOME_UNKNOWN | 2013:
+            result = tallies.Result.unknown
+        case _:
+            result = tallies.Result.failed
+    return Answer(result, (), code, message)
+
+
+class Caller:
+    """One client connection at a time, to changing entry instances."""
+
+    def __init__(
+        self,
+        plan: plans.Plan,
+        user: str,
+        first_target: int,
+    ) -> None:
+        """Connect as `user` when the first statement comes."""
+        self._plan = plan
+        self._user = user
+        targets = plan.targets
+        start = first_target % len(targets)
+        self._targets = itertools.cycle(targets[start:] + targets[:start])
+        self._connection: aiomysql.Connection | None = None
+
+    def close(self) -> None:
+        """Close the connection; the next statement uses another instance."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def run(
+        self,
+        sql: str,
+        arguments: tuple[typing.Any, ...] = (),
+    ) -> Answer:
+        """Run a statement once."""
+        if not self._is_open():
+            refusal = await self._connect()
+            if refusal is not None:
+                return refusal
+        try:
+            rows = await asyncio.wait_for(
+                self._execute(sql, arguments),
+                self._plan.statement_timeout_s,
+            )
+        except _FAILURES as error:
+            answer = classify(error)
+            if answer.code == CONNECTION_LOST:
+                self.close()
+            return answer
+        return Answer(tallies.Result.served, rows)
+
+    def _is_open(self) -> bool:
+        if self._connection is None:
+            return False
+        # aiomysql has no public way to see that the other end has closed.
+        # Sending would make a statement that can't have run look unknown.
+        reader = self._connection._reader  # noqa: SLF001, WPS437
+        if reader is None or reader.at_eof():
+            self.close()
+            return False
+        return True
+
+    async def _execute(
+        self,
+        sql: str,
+        arguments: tuple[typing.Any, ...],
+    ) -> Rows:
+        assert self._connection is not None  # noqa: S101
+        async with self._connection.cursor() as cursor:
+            await cursor.execute(sql, arguments or None)
+            return typing.cast(Rows, await cursor.fetchall())
+
+    async def _connect(self) -> Answer | None:
+        """Try each target once; return None when connected."""
+        refusal = None
+        for _ in self._plan.targets:
+            refusal = await self._connect_to(next(self._targets))
+            if refusal is None:
+                break
+        return refusal
+
+    async def _connect_to(self, target: plans.Address) -> Answer | None:
+        try:
+            self._connection = await asyncio.wait_for(
+                aiomysql.connect(
+                    host=target.host,
+                    port=target.port,
+                    user=self._user,
+                    autocommit=True,
+                    init_command=self._plan.init_command or None,
+                ),
+                CONNECT_TIMEOUT_S,
+            )
+        except _FAILURES as error:
+            answer = classify(error)
+            # Nothing was sent, so a lost connection leaves no doubt.
+            return dataclasses.replace(answer, result=tallies.Result.failed)
+        return None
--- /dev/null
+++ b/celeryrelay/load/runner.py
@@ -0,0 +1,132 @@
+"""Load runs."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import abc
+
+import aiohttp
+
+from celeryrelay.load import arrivals, plans, tallies, workload
+
+STATUS_TIMEOUT_S = 2
+
+Queues = dict[tuple[str, plans.Rank], asyncio.Queue[workload.Arrival]]
+
+
+class Runner:
+    """One load run with open-loop arrivals.
+
+    Attributes:
+        tally: Counts so far; complete when `run` returns.
+    """
+
+    def __init__(self, plan: plans.Plan) -> None:
+        """Prepare the run of `plan`."""
+        self.tally = tallies.Tally()
+        self._plan = plan
+        generator = random.Random(plan.seed)  # noqa: S311
+        self._shared = workload.Shared(plan, self.tally, generator)
+        self._queues: Queues = {
+            (group, rank): asyncio.Queue()
+            for group in plan.groups
+            for rank in plans.Rank
+        }
+
+    async def run(self) -> tallies.Tally:
+        """Send all statements and return the counts."""
+        before = await read_counts(self._plan.status)
+        self.tally.started_at = time.monotonic()
+        workers = [asyncio.create_task(job) for job in self._workers()]
+        try:
+            await asyncio.gather(*(self._arrive(rank) for rank in plans.Rank))
+            self.tally.ended_at = time.monotonic()
+            await self._drain()
+        finally:
+            for task in workers:
+                task.cancel()
+            await asyncio.gather(*workers, return_exceptions=True)
+        after = await read_counts(self._plan.status)
+        self.tally.reads = _difference(before, after)
+        return self.tally
+
+    def _workers(self) -> abc.Iterator[abc.Coroutine[None, None, None]]:
+        states = {group: workload.GroupState() for group in self._plan.groups}
+        for (group, rank), queue in self._queues.items():
+            for number in range(self._plan.callers):
+                worker = workload.Worker(
+                    self._shared,
+                    group,
+                    rank,
+                    states[group],
+                    number,
+                )
+                yield worker.work(queue)
+
+    async def _arrive(self, rank: plans.Rank) -> None:
+        schedule = arrivals.build_schedule(self._plan, rank)
+        generator = random.Random(f'{self._plan.seed}/{rank}')  # noqa: S311
+        for at_s in arrivals.arrival_times(schedule, generator):
+            intended_at = self.tally.started_at + at_s
+            await asyncio.sleep(intended_at - time.monotonic())
+            group = generator.choice(self._plan.groups)
+            self._queues[group, rank].put_nowait(
+                workload.Arrival(intended_at),
+            )
+        remaining = self.tally.started_at + schedule.duration_s
+        await asyncio.sleep(remaining - time.monotonic())
+
+    async def _drain(self) -> None:
+        """Let late statements run, then drop those that were never sent."""
+        joins = [queue.join() for queue in self._queues.values()]
+        all_served = asyncio.ensure_future(asyncio.gather(*joins))
+        await asyncio.wait({all_served}, timeout=self._plan.drain_s)
+        for (_, rank), queue in self._queues.items():
+            while not queue.empty():
+                queue.get_nowait()
+                queue.task_done()
+                self.tally.ranks[rank].unsent += 1
+        # What is being served ends within its own timeout.
+        await all_served
+
+
+async def read_counts(
+    addresses: tuple[plans.Address, ...],
+) -> dict[plans.Address, tallies.ReadCounts]:
+    """Return the read counters of the entry instances that answer."""
+    counts = {}
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        for address in addresses:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                counts[address] = await _read_count(http, address)
+    return counts
+
+
+async def _read_count(
+    http: aiohttp.ClientSession,
+    address: plans.Address,
+) -> tallies.ReadCounts:
+    async with http.get(f'http://{address}/status') as answer:
+        status = await answer.json(content_type=None)
+    return tallies.ReadCounts(
+        status.get('reads_primary', 0),
+        status.get('reads_replica', 0),
+    )
+
+
+def _difference(
+    before: abc.Mapping[plans.Address, tallies.ReadCounts],
+    after: abc.Mapping[plans.Address, tallies.ReadCounts],
+) -> tallies.ReadCounts:
+    """Return the increase over the instances that answered both times."""
+    both = before.keys() & after.keys()
+    return tallies.ReadCounts(
+        sum(
+            after[address].primary - before[address].primary for address in both
+        ),
+        sum(
+            after[address].replica - before[address].replica for address in both
+        ),
+    )
--- /dev/null
+++ b/tests/management/test_load.py
@@ -0,0 +1,158 @@
+import asyncio
+import json
+import random
+import sys
+
+import pymysql
+import pytest
+
+from celeryrelay.load import arrivals, callers, plans, runner, tallies
+from celeryrelay.load import workload
+from standins.deployment import cluster, shapes
+
+SHAPE = shapes.Shape(
+    zones=('zone-1',),
+    groups=('group-1',),
+    slots_per_group=2,
+    entries_per_zone=0,
+    connection_limit=100,
+    init_sql=workload.BOOKINGS_TABLE,
+)
+RATES = {plans.Rank.bookings: 60, plans.Rank.checks: 60}
+SET_TERM = 'SET SESSION group_term = 1'
+
+
+def target(deployment, slot):
+    port = deployment.slots['group-1', slot].port
+    return plans.Address('127.0.0.1', port)
+
+
+async def test_report_counts_what_the_database_holds():
+    """Guards against a report that does not agree with the database."""
+    async with cluster.Cluster(SHAPE) as deployment:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'celeryrelay.management.commands.load',
+            f'--targets={target(deployment, "slot-0")}',
+            '--groups=group-1',
+            '--rate=bookings=60',
+            '--rate=checks=60',
+            '--rate=reports=5',
+            '--duration_s=2',
+            f'--init_command={SET_TERM}',
+            '--json',
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        rows = await deployment.query(
+            'group-1', 'slot-0', 'SELECT COUNT(*) FROM bookings'
+        )
+    assert process.returncode == 0
+    report = json.loads(output)
+    bookings = report['ranks']['bookings']
+    assert bookings['sent'] == bookings['served'] == rows[0][0] > 50
+    assert report['ranks']['reports']['served'] > 0
+    assert 0 < bookings['p50_ms'] <= bookings['p99_ms']
+    assert report['groups']['group-1']['bookings_acknowledged'] == rows[0][0]
+
+
+async def test_missing_own_writes_are_violations():
+    """Guards against a read-your-writes check that can't fail."""
+    async with cluster.Cluster(SHAPE) as deployment:
+        await deployment.query(
+            'group-1', 'slot-1', "CALL standin_set('lag_ms', 60000)"
+        )
+        plan = plans.Plan(
+            targets=(
+                target(deployment, 'slot-0'),
+                target(deployment, 'slot-1'),
+            ),
+            groups=('group-1',),
+            rates=RATES,
+            duration_s=1,
+            callers=2,
+            roam_every=5,
+            init_command=SET_TERM,
+        )
+        tally = await runner.Runner(plan).run()
+    assert tally.sessions.violations
+    # Writes on the replica are refused by the server.
+    bookings = tally.ranks[plans.Rank.bookings]
+    assert bookings.errors[1290] == bookings.results[tallies.Result.failed] > 0
+
+
+async def test_silent_server_makes_outcomes_unknown():
+    """Guards against a statement without an answer that is not counted."""
+    async with cluster.Cluster(SHAPE) as deployment:
+        program = deployment.slots['group-1', 'slot-0'].program
+        plan = plans.Plan(
+            targets=(target(deployment, 'slot-0'),),
+            groups=('group-1',),
+            rates={plans.Rank.bookings: 50},
+            duration_s=1,
+            callers=2,
+            init_command=SET_TERM,
+            statement_timeout_s=0.5,
+            drain_s=0.1,
+        )
+        run = asyncio.create_task(runner.Runner(plan).run())
+        async with asyncio.timeout(10):
+            while (
+                await deployment.query(
+                    'group-1', 'slot-0', 'SELECT 1 FROM bookings LIMIT 1'
+                )
+                == ()
+            ):
+                await asyncio.sleep(0.01)
+        program.suspend()
+        tally = await run
+        program.resume()
+    bookings = tally.ranks[plans.Rank.bookings]
+    assert bookings.results[tallies.Result.unknown] > 0
+    assert bookings.unsent > 0
+    keys = tally.groups['group-1'].keys
+    assert sum(map(len, keys.values())) == bookings.sent
+
+
+@pytest.mark.parametrize(
+    ('error', 'expected'),
+    [
+        (pymysql.OperationalError(9201, 'x'), tallies.Result.not_run),
+        (pymysql.OperationalError(9202, 'x'), tallies.Result.unknown),
+        (pymysql.OperationalError(2013, 'x'), tallies.Result.unknown),
+        (pymysql.InterfaceError('(0, x)'), tallies.Result.unknown),
+        (ConnectionResetError(104, 'x'), tallies.Result.unknown),
+        (TimeoutError(), tallies.Result.unknown),
+        (pymysql.IntegrityError(1062, 'x'), tallies.Result.failed),
+        (pymysql.OperationalError(9203, 'x'), tallies.Result.failed),
+    ],
+)
+def test_classification_of_errors(error, expected):
+    """Guards against doubt that is reported as certainty."""
+    assert callers.classify(error).result is expected
+
+
+def test_arrivals_follow_the_flood():
+    """Guards against floods that come late or change the base rate."""
+    flood = plans.Flood(plans.Rank.checks, 10, 5, 900)
+    plan = plans.Plan(
+        targets=(),
+        groups=(),
+        rates={plans.Rank.checks: 100},
+        duration_s=30,
+        floods=(flood, plans.Flood(plans.Rank.reports, 0, 30, 50)),
+    )
+    schedule = arrivals.build_schedule(plan, plans.Rank.checks)
+    times = list(arrivals.arrival_times(schedule, random.Random(1)))
+    assert times == sorted(times)
+    inside = sum(1 for at in times if 10 <= at < 15)
+    assert 4700 < inside < 5300
+    assert 2300 < len(times) - inside < 2700
+
+
+def test_longest_gap_counts_the_edges():
+    """Guards against a failover gap that ends the run and is not seen."""
+    group = tallies.GroupTally(served_at=[1, 2, 2.5])
+    assert group.longest_gap_ms(1, 2.5) == 1000
+    assert group.longest_gap_ms(1, 6) == 3500
