--- a/celeryrelay/accounting/relaying.py
+++ b/celeryrelay/accounting/relaying.py
@@ -149,16 +149,9 @@
         stored: merging.Value | None,
         revision: int,
     ) -> Write:
-        size = 0 if stored is None else len(merging.dump(stored))
-        fitting = []
-        for entry in flush.entries.values():
-            # The part's own value is an upper bound for what it adds.
-            size += len(merging.dump(merging.merge(None, [entry])))
-            if size > SEAL_BYTES:
-                break
-            fitting.append(entry)
+        fitting = _fitting(flush, stored)
         flush.written = merging.merge(stored, fitting, flush.number)
-        if size > SEAL_BYTES:
+        if len(fitting) < len(flush.entries):
             flush.written['sealed'] = True
         return Write(flush.key, flush.written, revision)
 
@@ -178,3 +171,23 @@
         for part_id in found:
             flush.entries.pop(part_id)
             self._pending.confirm(flush.place, part_id)
+
+
+def _fitting(
+    flush: _Flush,
+    stored: merging.Value | None,
+) -> list[merging.SourcePart]:
+    """Return the parts to add before the value is sealed.
+
+    An empty value takes at least one part, whatever its size.
+    """
+    size = 0 if stored is None else len(merging.dump(stored))
+    fitting: list[merging.SourcePart] = []
+    for entry in flush.entries.values():
+        # The part's own value is an upper bound for what it adds.
+        size += len(merging.dump(merging.merge(None, [entry])))
+        is_empty = stored is None and not fitting
+        if size > SEAL_BYTES and not is_empty:
+            break
+        fitting.append(entry)
+    return fitting
