--- a/celeryrelay/timeline/events.py
+++ b/celeryrelay/timeline/events.py
@@ -44,7 +44,24 @@
     heard: int = 0
 
     def as_dict(self) -> dict[str, typing.Any]:
-        """Return the event as one flat JSON object."""
+        """Return the event as one flat object."""
+        header = self._header()
+        return {**header, **self.fields, **header}
+
+    def dump(self) -> bytes:
+        """Return the event as a JSON line with its line end.
+
+        Values that JSON can't express are shown as text.
+        """
+        content = self.as_dict()
+        try:
+            return _dump_line(content)
+        except TypeError:
+            # Integers beyond 64 bits and texts with lone surrogates.
+            plain = {key: ascii(content[key]) for key in self.fields}
+            return _dump_line({**content, **plain, **self._header()})
+
+    def _header(self) -> dict[str, typing.Any]:
         header = {
             'instance': self.instance,
             'incarnation': self.incarnation,
@@ -55,15 +72,7 @@
         }
         if self.heard:
             header['heard'] = self.heard
-        return {**header, **self.fields, **header}
-
-    def dump(self) -> bytes:
-        """Return the event as a JSON line with its line end."""
-        return orjson.dumps(
-            self.as_dict(),
-            default=repr,
-            option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS,
-        )
+        return header
 
 
 class EventLog:
@@ -135,9 +144,12 @@
             self._clock = max(self._clock, remote_clock)
 
     def recent(self, after_sequence: int = 0) -> list[dict[str, typing.Any]]:
-        """Return the buffered events with a higher sequence number."""
+        """Return the buffered events with a higher sequence number.
+
+        The objects have plain JSON values only.
+        """
         return [
-            event.as_dict()
+            orjson.loads(event.dump())
             for event in self._recent
             if event.sequence > after_sequence
         ]
@@ -167,6 +179,14 @@
             self._file = None
 
 
+def _dump_line(content: typing.Mapping[str, typing.Any]) -> bytes:
+    return orjson.dumps(
+        content,
+        default=repr,
+        option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS,
+    )
+
+
 def _open_log(path: str) -> typing.BinaryIO:
     """Open `path` for appending, at the start of a line.
 
