Split the entry into preparation, session and delivery

Cause: the entry module had 31 methods in one class and the holder mixed replies, idempotent writes and transactions.

--- a/celeryrelay/admission/budget.py
+++ b/celeryrelay/admission/budget.py
@@ -22,13 +22,18 @@
         self._burst = burst
         self._balance = burst
 
+    @property
+    def available(self) -> bool:
+        """Return whether a retry is permitted now."""
+        return self._balance >= 1
+
     def on_request(self) -> None:
         """Note a first attempt."""
         self._balance = min(self._balance + self._ratio, self._burst)
 
     def take(self) -> bool:
         """Return whether a retry is permitted, and count it."""
-        if self._balance < 1:
+        if not self.available:
             return False
         self._balance -= 1
         return True
--- a/celeryrelay/conf/sets.py
+++ b/celeryrelay/conf/sets.py
@@ -33,6 +33,11 @@
     port: int
     availability_zone: str
 
+    @property
+    def address(self) -> str:
+        """Return the address as in the platform's list."""
+        return '{0}:{1}'.format(self.host, self.port)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatabaseGroup:
--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -24,6 +24,7 @@
 from celeryrelay.daemon import (
     bookkeeping,
     control,
+    delivery,
     distribution,
     entry,
     evidence,
@@ -31,9 +32,11 @@
     forwarding,
     holders,
     observer,
+    preparation,
     promoter,
     recording,
     reporting,
+    session,
     staleness_feed,
 )
 from celeryrelay.membership import view
@@ -276,20 +279,26 @@
             self._events,
         )
         gate = entry.Entry(
-            entry.EntryParts(
-                fleet=self.fleet,
-                forwarder=forwarder,
-                classifier=classification.Classifier(
-                    options.statements.classification_cache,
+            session.SessionParts(
+                deliveries=delivery.DeliveryParts(
+                    fleet=self.fleet,
+                    forwarder=forwarder,
+                    retries=budget.RetryBudget(),
+                    settings=options,
+                    clock=self._clock,
+                ),
+                preparer=preparation.Preparer(
+                    self.fleet,
+                    classification.Classifier(
+                        options.statements.classification_cache,
+                    ),
+                    self._clock,
                 ),
                 signer=tokens.TokenSigner(
                     self._secrets.fleet_key.encode(),
                     options.deployment,
                 ),
-                retries=budget.RetryBudget(),
                 recorder=recorder,
-                settings=options,
-                clock=self._clock,
             ),
         )
         self._callers = callers.CallerServer(
--- a/celeryrelay/daemon/distribution.py
+++ b/celeryrelay/daemon/distribution.py
@@ -13,7 +13,8 @@
 from celeryrelay.timeline import events
 
 KEY = 'configuration'
-WATCH_MS = 5000
+# A quiet watch confirms the set in force; two of them fit into 5 s.
+WATCH_MS = 2000
 RETRY_S = 0.5
 FETCH_TIMEOUT_MS = 2000
 
--- a/celeryrelay/daemon/forwarding.py
+++ b/celeryrelay/daemon/forwarding.py
@@ -5,7 +5,7 @@
 
 from celeryrelay.adapters import peers
 from celeryrelay.conf import sets, settings
-from celeryrelay.core import messages, outcomes
+from celeryrelay.core import messages
 from celeryrelay.daemon import fleet, holders
 from celeryrelay.timeline import events
 
@@ -77,19 +77,11 @@
             await answer.aclose()
 
 
-def not_delivered(
-    fault: peers.PeerFault,
-    *,
-    write: bool,
-) -> outcomes.NotRun | outcomes.OutcomeUnknown:
-    """Return what may be said of a statement whose answer is missing."""
-    if write and fault.sent:
-        return outcomes.OutcomeUnknown(
-            outcomes.Reason.connection_lost,
-            'connection to the holder lost: {0}'.format(fault.message),
-        )
-    return outcomes.NotRun(
-        reason=outcomes.Reason.no_holder,
-        message='holder did not answer: {0}'.format(fault.message),
-        retry_after_ms=100,
-    )
+async def last_part(
+    parts: abc.AsyncGenerator[messages.Line | peers.PeerFault, None],
+) -> messages.Line | peers.PeerFault | None:
+    """Read an answer to its end and return its last part."""
+    last = None
+    async for part in parts:
+        last = part
+    return last
--- a/celeryrelay/daemon/holder.py
+++ b/celeryrelay/daemon/holder.py
@@ -4,7 +4,6 @@
 to the backend server and decides what may be said about their outcome.
 """
 
-import base64
 import dataclasses
 from collections import abc
 
@@ -17,16 +16,17 @@
 from celeryrelay.daemon import (
     acknowledgement,
     admission,
+    idempotency,
     pool,
     probes,
+    refusals,
+    replies,
     transactions,
 )
 from celeryrelay.sessions import staleness
 from celeryrelay.terms import guard
 
 FETCH_ROWS = 200
-ERROR_FENCED = 1290
-ERROR_DUPLICATE_KEY = 1062
 _MS_PER_S = 1000
 
 Lines = abc.AsyncGenerator[messages.Line, None]
@@ -93,7 +93,7 @@
         gate = self.parts.admission
         verdict = await gate.enter(request.rank, request.budget_ms)
         if isinstance(verdict, decisions.Refuse):
-            yield _last(_overload(verdict, request))
+            yield _last(replies.overload(verdict, request))
             return
         run = _Run(request, [], self._clock.monotonic(), received_at)
         self._delayed(run, outcomes.DelayCause.queue, received_at)
@@ -132,7 +132,7 @@
         acquired = await self.parts.pool.acquire()
         self._delayed(run, outcomes.DelayCause.connection, before)
         if acquired.is_err():
-            yield _last(_no_connection(acquired.unwrap_err()))
+            yield _last(replies.no_connection(acquired.unwrap_err()))
             return
         connection = acquired.unwrap()
         owned = True
@@ -175,7 +175,9 @@
         if refusal is not None:
             yield _last(refusal)
             return
-        reply = await connection.execute(request.sql, self._timeout(request))
+        reply = await connection.execute(
+            request.sql, _timeout_ms(self._options, request)
+        )
         async for line in self._answer(run, connection, reply):
             yield line
 
@@ -186,12 +188,14 @@
     ) -> outcomes.NotRun | None:
         status = self.parts.probe.status
         bound = run.request.bound
-        if not self._is_fresh_enough(run.request, status):
-            return _lagging('replica is older than the stale-read rule allows')
+        if not _is_fresh(self.parts.age, status, run):
+            return replies.lagging(
+                'replica is older than the stale-read rule allows'
+            )
         if status is not None and status.role == 'primary':
             if status.term == bound.term:
                 return None
-            return _lagging('the primary is in another term')
+            return replies.lagging('the primary is in another term')
         if status is not None and _has_reached(status, bound):
             return None
         before = self._clock.monotonic()
@@ -215,24 +219,7 @@
                 )
                 if _has_reached(reached, bound):
                     return None
-        return _lagging('replica has not reached the session position')
-
-    def _is_fresh_enough(
-        self,
-        request: messages.StatementRequest,
-        status: probes.SlotStatus | None,
-    ) -> bool:
-        if request.max_age_ms is None:
-            return True
-        if status is None:
-            return False
-        if status.role == 'primary':
-            return True
-        age_ms = self.parts.age.age_ms(
-            status.applied,
-            self._clock.monotonic(),
-        )
-        return age_ms is not None and age_ms <= request.max_age_ms
+        return replies.lagging('replica has not reached the session position')
 
     async def _write(
         self,
@@ -244,11 +231,11 @@
             yield _last(prepared)
             return
         if run.request.caller_request:
-            yield _last(await self._write_once(run, connection))
+            yield _last(await self._once(run, connection))
             return
         reply = await connection.execute(
             run.request.sql,
-            self._timeout(run.request),
+            _timeout_ms(self._options, run.request),
         )
         async for line in self._answer(run, connection, reply):
             yield line
@@ -274,92 +261,23 @@
             return None
         return acknowledgement.no_primary(outcomes.Reason.connection_lost)
 
-    async def _write_once(
+    async def _once(
         self,
         run: _Run,
         connection: backends.BackendConnection,
     ) -> outcomes.Outcome:
         """Run a write together with its caller's request id."""
-        request = run.request
-        timeout_ms = self._timeout(request)
-        reply: backends.Reply = await connection.execute('BEGIN', timeout_ms)
-        if not isinstance(reply, backends.Ok):
-            return self._refused_or_lost(reply, sent=False)
-        ran = await connection.execute(request.sql, timeout_ms)
-        if isinstance(ran, backends.Ok):
-            noted = await connection.execute(
-                transactions.insert_request(request.caller_request, ran),
-                timeout_ms,
-            )
-        else:
-            noted = ran
-        if isinstance(noted, backends.Ok) and isinstance(ran, backends.Ok):
-            committed = await connection.execute('COMMIT', timeout_ms)
-            if isinstance(committed, backends.Ok):
-                whole = dataclasses.replace(
-                    ran,
-                    in_transaction=False,
-                    term=committed.term,
-                    offset=committed.offset,
-                )
-                return await self._acknowledged(run, whole)
-            return self._refused_or_lost(committed, sent=True)
-        return await self._first_outcome(run, connection, noted)
-
-    async def _first_outcome(
-        self,
-        run: _Run,
-        connection: backends.BackendConnection,
-        reply: backends.Reply,
-    ) -> outcomes.Outcome:
-        """Return the first run's outcome when the request id is known."""
-        timeout_ms = self._timeout(run.request)
-        rolled_back = await connection.execute('ROLLBACK', timeout_ms)
-        if not isinstance(rolled_back, backends.Ok):
-            connection.abort()
-        if not isinstance(reply, backends.ServerError):
-            # COMMIT was not sent, so the server rolls the write back.
-            return acknowledgement.no_primary(outcomes.Reason.connection_lost)
-        found = await connection.query(
-            transactions.select_request(run.request.caller_request),
-            timeout_ms,
-        )
-        match found:
-            case result.Ok([(affected_rows, last_insert_id), *_]):
-                return await self._repeated(
-                    run,
-                    connection,
-                    backends.Ok(
-                        affected_rows=int(affected_rows),
-                        last_insert_id=int(last_insert_id),
-                        in_transaction=False,
-                    ),
-                )
-        return _failed(reply)
-
-    async def _repeated(
-        self,
-        run: _Run,
-        connection: backends.BackendConnection,
-        first: backends.Ok,
-    ) -> outcomes.Outcome:
-        """Acknowledge an earlier run at the primary's present position."""
-        answered = await connection.query(
-            'CALL group_status()',
-            self._timeout(run.request),
-        )
-        match answered:
-            case result.Ok([(_, term, 'primary', _, applied), *_]):
-                ran = dataclasses.replace(
-                    first,
-                    term=int(term),
-                    offset=int(applied),
-                )
-                return await self._acknowledged(run, ran)
-        return outcomes.OutcomeUnknown(
-            outcomes.Reason.unconfirmed,
-            'the first run of this request id could not be confirmed',
+        ran = await idempotency.run_once(
+            connection,
+            idempotency.Write(
+                sql=run.request.sql,
+                caller_request=run.request.caller_request,
+                timeout_ms=_timeout_ms(self._options, run.request),
+            ),
         )
+        if isinstance(ran, backends.Ok):
+            return await self._acknowledged(run, ran)
+        return ran
 
     async def _begin(
         self,
@@ -375,7 +293,7 @@
             self._options.progress_timeout_ms,
         )
         if not isinstance(reply, backends.Ok):
-            yield _last(self._refused_or_lost(reply, sent=False))
+            yield _last(replies.refused_or_lost(reply, sent=False))
             return
         transaction = self.transactions.open(run.request.request, connection)
         done = outcomes.Done(
@@ -415,7 +333,7 @@
     ) -> Lines:
         transaction = self.transactions.use(request.transaction)
         if transaction is None:
-            yield _last(_transaction_lost('unknown transaction'))
+            yield _last(refusals.rolled_back('unknown transaction'))
             return
         now = self._clock.monotonic()
         run = _Run(request, [], now, now)
@@ -426,7 +344,7 @@
             else:
                 reply = await transaction.connection.execute(
                     request.sql,
-                    self._timeout(request),
+                    _timeout_ms(self._options, request),
                 )
                 lines = self._answer(run, transaction.connection, reply)
                 async for line in lines:
@@ -450,12 +368,12 @@
         commit = run.request.action == 'commit'
         reply = await transaction.connection.execute(
             'COMMIT' if commit else 'ROLLBACK',
-            self._timeout(run.request),
+            _timeout_ms(self._options, run.request),
         )
         if isinstance(reply, backends.Ok):
             return await self._acknowledged(run, reply)
         if commit:
-            return self._refused_or_lost(reply, sent=True)
+            return replies.refused_or_lost(reply, sent=True)
         return outcomes.Done()
 
     async def _end(
@@ -485,17 +403,17 @@
     ) -> Lines:
         match reply:
             case backends.Rows():
-                yield _header(reply)
+                yield replies.header(reply)
                 async for line in self._rows(run, connection, reply):
                     yield line
             case backends.Ok():
                 yield _last(await self._acknowledged(run, reply))
             case backends.Lost() if run.request.transaction:
                 # COMMIT was not sent, so the server rolls back.
-                yield _last(_transaction_lost(reply.message))
+                yield _last(refusals.rolled_back(reply.message))
             case _:
                 yield _last(
-                    self._refused_or_lost(reply, sent=run.request.write),
+                    replies.refused_or_lost(reply, sent=run.request.write),
                 )
 
     async def _rows(
@@ -509,16 +427,16 @@
         while True:
             rows = await connection.fetch(
                 FETCH_ROWS,
-                self._timeout(run.request),
+                _timeout_ms(self._options, run.request),
             )
             if not isinstance(rows, list):
-                yield _last(self._refused_or_lost(rows, sent=True))
+                yield _last(replies.refused_or_lost(rows, sent=True))
                 return
             if not rows:
                 break
             count += len(rows)
             yield messages.RowBatch(
-                tuple(_encode_row(row, binary) for row in rows),
+                tuple(replies.encode_row(row, binary) for row in rows),
             )
         ran = backends.Ok(count, 0, connection.in_transaction)
         yield _last(await self._acknowledged(run, ran))
@@ -552,33 +470,6 @@
             done,
         )
 
-    def _refused_or_lost(
-        self,
-        reply: backends.Reply,
-        *,
-        sent: bool,
-    ) -> outcomes.Outcome:
-        match reply:
-            case backends.ServerError(code=code) if code == ERROR_FENCED:
-                return acknowledgement.no_primary(outcomes.Reason.no_primary)
-            case backends.ServerError():
-                return _failed(reply)
-            case backends.Lost() if sent:
-                return outcomes.OutcomeUnknown(
-                    outcomes.Reason.connection_lost,
-                    'backend connection lost: {0}'.format(reply.message),
-                )
-            case _:
-                return acknowledgement.no_primary(
-                    outcomes.Reason.connection_lost,
-                )
-
-    def _timeout(self, request: messages.StatementRequest) -> float:
-        return min(
-            self._options.progress_timeout_ms,
-            max(request.budget_ms, 1) * 2,
-        )
-
     def _delayed(
         self,
         run: _Run,
@@ -590,6 +481,31 @@
             run.delays.append(outcomes.Delay(cause, duration_ms))
 
 
+def _is_fresh(
+    age: staleness.ReplicaAge,
+    status: probes.SlotStatus | None,
+    run: _Run,
+) -> bool:
+    max_age_ms = run.request.max_age_ms
+    if max_age_ms is None:
+        return True
+    if status is None:
+        return False
+    if status.role == 'primary':
+        return True
+    age_ms = age.age_ms(status.applied, run.started_at)
+    return age_ms is not None and age_ms <= max_age_ms
+
+
+def _timeout_ms(
+    options: settings.StatementSettings,
+    request: messages.StatementRequest,
+) -> float:
+    # A statement that has started may finish after its deadline; the caller
+    # then still learns its outcome.
+    return min(options.progress_timeout_ms, max(request.budget_ms, 1) * 2)
+
+
 def _has_reached(status: probes.SlotStatus, bound: messages.Bound) -> bool:
     # A position survives only the promotions that the entry knows of, so a
     # slot of a later term must not serve it either.
@@ -600,82 +516,5 @@
     )
 
 
-def _header(reply: backends.Rows) -> messages.ResultHeader:
-    return messages.ResultHeader(
-        tuple(
-            messages.ColumnHeader(column.name, column.type_code, column.binary)
-            for column in reply.columns
-        ),
-    )
-
-
-def _encode_row(
-    row: backends.Row,
-    binary: abc.Sequence[bool],
-) -> tuple[messages.Value, ...]:
-    return tuple(
-        _encode(cell, is_binary)
-        for cell, is_binary in zip(row, binary, strict=True)
-    )
-
-
-def _encode(cell: str | bytes | None, is_binary: bool) -> messages.Value:
-    if cell is None:
-        return None
-    if is_binary:
-        raw = cell if isinstance(cell, bytes) else cell.encode()
-        return base64.b64encode(raw).decode('ascii')
-    if isinstance(cell, bytes):
-        return cell.decode('utf-8', 'replace')
-    return cell
-
-
 def _last(outcome: outcomes.Outcome) -> messages.LastLine:
     return messages.last_line(outcome, 0)
-
-
-def _failed(reply: backends.ServerError) -> outcomes.Failed:
-    return outcomes.Failed(
-        code=reply.code,
-        sqlstate=reply.sqlstate,
-        message=reply.message,
-        in_transaction=reply.in_transaction,
-    )
-
-
-def _lagging(message: str) -> outcomes.NotRun:
-    return outcomes.NotRun(outcomes.Reason.lagging, message)
-
-
-def _transaction_lost(message: str) -> outcomes.Failed:
-    # Code and SQLSTATE of a deadlock: client libraries take it as a
-    # transaction that was rolled back as a whole.
-    return outcomes.Failed(
-        code=1213,
-        sqlstate='40001',
-        message='transaction rolled back: {0}'.format(message),
-    )
-
-
-def _overload(
-    verdict: decisions.Refuse,
-    request: messages.StatementRequest,
-) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        reason=verdict.reason,
-        message='{0} of rank {1} refused'.format(
-            request.action,
-            request.rank,
-        ),
-        retry_after_ms=int(verdict.retry_after_ms),
-    )
-
-
-def _no_connection(failure: backends.ConnectFailure) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        reason=outcomes.Reason.connections,
-        message='no connection to the backend server: {0}'.format(
-            failure.message,
-        ),
-        retry_after_ms=100,
-    )
--- a/celeryrelay/daemon/holders.py
+++ b/celeryrelay/daemon/holders.py
@@ -175,7 +175,7 @@
         return self._fleet.own.instance in names and not self._fleet.draining
 
     def _is_leaving(self, slot: sets.Slot) -> bool:
-        return '{0}:{1}'.format(slot.host, slot.port) in self._fleet.leaving
+        return slot.address in self._fleet.leaving
 
     def _hold(self, group: sets.DatabaseGroup, slot: sets.Slot) -> _Held:
         key = (group.name, slot.name)
--- /dev/null
+++ b/celeryrelay/daemon/preparation.py
@@ -0,0 +1,112 @@
+"""Preparation of a caller's statement: classification, route, deadline."""
+
+import dataclasses
+import itertools
+import re
+from collections import abc
+
+import result
+
+from celeryrelay.conf import sets
+from celeryrelay.core import clock, outcomes
+from celeryrelay.daemon import delivery, fleet, refusals
+from celeryrelay.routing import classification, kinds, routes
+
+TOKEN_ATTRIBUTE = 'celeryrelay_token'  # noqa: S105 (name of an attribute)
+REQUEST_ATTRIBUTE = 'celeryrelay_request_id'
+REQUEST_ID = re.compile('[A-Za-z0-9_.:-]{1,64}')
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Login:
+    """Who the caller is and which schema it has selected."""
+
+    user: str = ''
+    schema: str = ''
+
+
+class Preparer:
+    """Prepares statements under the object set in force."""
+
+    def __init__(
+        self,
+        known: fleet.Fleet,
+        classifier: classification.Classifier,
+        ticker: clock.Clock,
+    ) -> None:
+        """Create the preparer of an entry."""
+        self._fleet = known
+        self._classifier = classifier
+        self._clock = ticker
+        self._numbers = itertools.count()
+        self._table = (0, routes.RouteTable(sets.ObjectSet({}, (), {}, {})))
+
+    def classify(self, sql: str) -> kinds.Classification:
+        """Return how a statement is handled."""
+        return self._classifier.classify(sql)
+
+    def next_request(self) -> str:
+        """Return a request id that no other daemon gives."""
+        return '{0}-{1}'.format(
+            self._fleet.own.incarnation,
+            next(self._numbers),
+        )
+
+    def routes(self) -> routes.RouteTable:
+        """Return the routes of the object set in force."""
+        published = self._fleet.published
+        if published is not None and self._table[0] != published.revision:
+            self._table = (
+                published.revision,
+                routes.RouteTable(published.object_set),
+            )
+        return self._table[1]
+
+    def prepare(
+        self,
+        sql: str,
+        found: kinds.Classification,
+        login: Login,
+        attributes: abc.Mapping[str, str],
+    ) -> delivery.Statement | outcomes.NotRun:
+        """Return the statement with its route, or why it is refused."""
+        objects = self._fleet.objects
+        if objects is None:
+            return refusals.no_configuration()
+        caller_request = attributes.get(REQUEST_ATTRIBUTE, found.request_id)
+        if caller_request and not REQUEST_ID.fullmatch(caller_request):
+            return refusals.unsupported(
+                'request id: 1 to 64 characters of A-Z a-z 0-9 _ . : -',
+            )
+        match self.routes().find(login.user, login.schema):
+            case result.Ok(route):
+                return self._statement(
+                    sql,
+                    found,
+                    caller_request,
+                    (objects, route),
+                )
+            case result.Err(message):
+                return refusals.unsupported(message)
+
+    def _statement(
+        self,
+        sql: str,
+        found: kinds.Classification,
+        caller_request: str,
+        place: tuple[sets.ObjectSet, sets.Route],
+    ) -> delivery.Statement:
+        objects, route = place
+        now = self._clock.monotonic()
+        deadline_ms = objects.ranks[route.rank].deadline_ms
+        return delivery.Statement(
+            request=self.next_request(),
+            sql=sql,
+            kind=found.kind,
+            caller_request=caller_request,
+            objects=objects,
+            route=route,
+            started_at=now,
+            deadline=now + deadline_ms / _MS_PER_S,
+        )
--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -86,7 +86,7 @@
             return True
         slot = group.slot(record.primary)
         leaving = self._parts.fleet.leaving
-        if slot and '{0}:{1}'.format(slot.host, slot.port) in leaving:
+        if slot and slot.address in leaving:
             return True
         if group.name not in suspected:
             return False
--- a/celeryrelay/daemon/staleness_feed.py
+++ b/celeryrelay/daemon/staleness_feed.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from celeryrelay.conf import sets, settings
-from celeryrelay.core import clock, messages, outcomes, ranks
+from celeryrelay.core import clock, messages, ranks
 from celeryrelay.daemon import fleet, forwarding, holder, holders
 
 POSITION_BUDGET_MS = 500
@@ -59,16 +59,16 @@
         delivery = forwarding.Delivery(slot, _request(group, slot))
         for instance in self._forwarder.instances(delivery)[:1]:
             sent_at = self._clock.monotonic()
-            async for part in self._forwarder.send(
-                instance,
-                delivery,
-                self._settings.statements,
-            ):
-                match part:
-                    case messages.DoneLine(
-                        done=outcomes.Done(position=position),
-                    ) if position is not None:
-                        held.parts.age.on_sample(sent_at, position.offset)
+            last = await forwarding.last_part(
+                self._forwarder.send(
+                    instance,
+                    delivery,
+                    self._settings.statements,
+                ),
+            )
+            if isinstance(last, messages.DoneLine) and last.done.position:
+                offset = last.done.position.offset
+                held.parts.age.on_sample(sent_at, offset)
 
 
 def _request(
--- a/celeryrelay/daemon/transactions.py
+++ b/celeryrelay/daemon/transactions.py
@@ -1,4 +1,4 @@
-"""Open transactions of a holder and callers' request ids."""
+"""Open transactions of a holder."""
 
 import dataclasses
 import secrets
@@ -9,7 +9,6 @@
 
 IDLE_LIMIT_S = 30
 TRANSACTION_ID_BYTES = 8
-REQUEST_TABLE = 'celeryrelay_requests'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,26 +94,3 @@
         for transaction in found:
             transaction.busy = True
         return found
-
-
-def insert_request(caller_request: str, ran: backends.Ok) -> str:
-    """Return the statement that notes a request id and its outcome.
-
-    The entry has checked that the id needs no quoting.
-    """
-    return (
-        'INSERT INTO {0} (request_id, affected_rows, last_insert_id) '
-        "VALUES ('{1}', {2}, {3})"
-    ).format(
-        REQUEST_TABLE,
-        caller_request,
-        ran.affected_rows,
-        ran.last_insert_id,
-    )
-
-
-def select_request(caller_request: str) -> str:
-    """Return the query for the outcome of a request id."""
-    return (
-        "SELECT affected_rows, last_insert_id FROM {0} WHERE request_id = '{1}'"
-    ).format(REQUEST_TABLE, caller_request)
