--- a/celeryrelay/membership/records.py
+++ b/celeryrelay/membership/records.py
@@ -64,7 +64,7 @@
 
     def is_silent(self, record: Record, now: float) -> bool:
         """Return whether the daemon of `record` is suspected."""
-        return now - record.heard >= self._suspect_after
+        return record.heard <= now - self._suspect_after
 
     def everyone(self) -> tuple[Record, ...]:
         """Return all records."""
@@ -72,10 +72,10 @@
 
     def heard_lately(self, now: float) -> tuple[Record, ...]:
         """Return the records of daemons that are not silent."""
+        # As `is_silent`, without a call for each of several hundred records.
+        limit = now - self._suspect_after
         return tuple(
-            record
-            for record in self._records.values()
-            if not self.is_silent(record, now)
+            record for record in self._records.values() if record.heard > limit
         )
 
     def refresh(self, heard: float, now: float) -> None:
--- a/celeryrelay/membership/view.py
+++ b/celeryrelay/membership/view.py
@@ -12,6 +12,9 @@
 FINGERPRINT_BYTES = 8
 MILLISECONDS = 1000
 
+# Members with whether they are leaving.
+LeavingMembers = tuple[tuple[identities.Identity, bool], ...]
+
 
 class InstanceKind(enum.StrEnum):
     """What runs on an instance of the platform's list."""
@@ -99,6 +102,8 @@
             control.suspect_after_ms / MILLISECONDS,
         )
         self._leaving_addresses: frozenset[str] = frozenset()
+        self._fingerprinted: LeavingMembers = ()
+        self._fingerprint = ''
 
     def drain(self) -> None:
         """Take the own daemon out of all roles for good."""
@@ -258,28 +263,38 @@
         Two daemons with equal fingerprints compute equal roles, so a relay
         sends it in place of the whole digest while nothing changes.
         """
-        lines = sorted(
-            '{0} {1} {2}'.format(
-                entry.identity.instance,
-                entry.identity.incarnation,
-                entry.leaving,
-            )
-            for entry in self.digest(now)
+        members = tuple(
+            (record.identity, record.leaving)
+            for record in self._records.heard_lately(now)
         )
-        return hashlib.blake2b(
-            '\n'.join(lines).encode(),
-            digest_size=FINGERPRINT_BYTES,
-        ).hexdigest()
+        members = ((self._own, self._is_own_leaving()), *members)
+        # Hashing takes much longer than the comparison and is seldom needed.
+        if members != self._fingerprinted:
+            self._fingerprinted = members
+            self._fingerprint = _fingerprint(members)
+        return self._fingerprint
 
     def oldest_age_ms(self, now: float) -> float:
         """Return the largest heartbeat age of a member that isn't silent."""
-        return max(entry.age_ms for entry in self.digest(now))
+        heard = (record.heard for record in self._records.heard_lately(now))
+        return max(now - min(heard, default=now), 0) * MILLISECONDS
 
     def _is_own_leaving(self) -> bool:
         listed = self._records.is_listed_leaving(self._own.instance)
         return self._draining or listed
 
 
+def _fingerprint(members: LeavingMembers) -> str:
+    lines = sorted(
+        '{0} {1} {2}'.format(identity.instance, identity.incarnation, leaving)
+        for identity, leaving in members
+    )
+    return hashlib.blake2b(
+        '\n'.join(lines).encode(),
+        digest_size=FINGERPRINT_BYTES,
+    ).hexdigest()
+
+
 def _leaving_by_address(
     entries: abc.Iterable[ListEntry],
     kind: str,
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -107,6 +107,16 @@
     assert live_view.live(3.6) == (OWN, OLD)
 
 
+def test_older_news_change_nothing():
+    live_view = new_view()
+    live_view.on_heartbeat(OLD, 2, leaving=True)
+    live_view.on_digest([view.DigestEntry(OLD, 1400)], 2)
+    assert live_view.members(2)[1].state == view.MemberState.leaving
+    live_view.on_heartbeat(OLD, 3)
+    live_view.on_digest([view.DigestEntry(OLD, 1400)], 3)
+    assert live_view.live(4) == (OWN, OLD)
+
+
 def test_another_process_on_the_own_address_is_refused():
     live_view = new_view()
     twin = identity.Identity(OWN.instance, 'z1', 'twin')
@@ -133,6 +143,25 @@
     assert not daemon.on_confirmed(relay.fingerprint(4), 0, 4)
 
 
+def test_a_fingerprint_changes_with_everything_that_moves_roles():
+    live_view = new_view()
+    seen = [live_view.fingerprint(0)]
+    live_view.on_heartbeat(OLD, 1)
+    seen.append(live_view.fingerprint(1))
+    live_view.on_list([listed(OLD.instance, 'leaving')], 1)
+    seen.append(live_view.fingerprint(1))
+    live_view.on_heartbeat(NEW, 2)
+    live_view.on_list([listed(OLD.instance)], 2)
+    seen.append(live_view.fingerprint(2))
+    live_view.drain()
+    seen.append(live_view.fingerprint(2))
+    assert len(set(seen)) == 5
+    silent = live_view.fingerprint(9)
+    assert silent not in seen
+    live_view.on_heartbeat(NEW, 10)
+    assert live_view.fingerprint(10) == seen[-1]
+
+
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(['beat', 'restart', 'stop', 'pass', 'confirm']),
@@ -172,7 +201,8 @@
     newest = [{} for _ in views]
     stopped = set()
     for kind, first, second, tenths in events:
-        now += tenths / 20
+        # Sixteenths are exact, so that ages compare without rounding.
+        now += tenths / 16
         if kind == 'restart':
             starts[first] += 1
             stopped.discard(first)
