--- a/celeryrelay/load/workload.py
+++ b/celeryrelay/load/workload.py
@@ -9,12 +9,11 @@
 
 from celeryrelay.load import callers, plans, tallies
 
+# Keys are unique by construction. The table accepts a key twice, so that a
+# booking that ran twice is found by counting.
 BOOKINGS_TABLE = """
-CREATE TABLE bookings (
-    id VARCHAR(40) PRIMARY KEY,
-    place INTEGER,
-    made_at INTEGER
-);
+CREATE TABLE bookings (id VARCHAR(40), place INTEGER, made_at INTEGER);
+CREATE INDEX bookings_id ON bookings (id);
 CREATE INDEX bookings_made_at ON bookings (made_at);
 """
 
--- /dev/null
+++ b/standins/deployment/demo.py
@@ -0,0 +1,223 @@
+"""Program `celeryrelay-demo`: a deployment under load that loses a primary."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+import time
+from collections import abc
+
+from absl import app, flags
+
+from celeryrelay.load import plans, reports, runner, tallies, workload
+from standins.deployment import cluster, processes, reconciliation, shapes
+
+FLAGS = flags.FLAGS
+
+INTERRUPTED_STATUS = 130
+PROGRESS_S = 2.5
+KILL_SHARE = 0.4
+# The gap is searched from shortly before the kill, so that a time without
+# bookings that began before it is seen in full.
+BEFORE_KILL_S = 2
+FLOOD_SHARE = 0.6
+FLOOD_S = 4
+
+SHAPE = shapes.Shape(
+    init_sql=workload.BOOKINGS_TABLE,
+    slot_flags=(
+        '--lag_ms=20',
+        '--connection_cost_ms=10',
+        '--service_ms=1',
+    ),
+)
+RATES = {
+    plans.Rank.bookings: 40,
+    plans.Rank.checks: 100,
+    plans.Rank.reports: 5,
+}
+FLOOD_RATE = 200
+CALLERS = 6
+
+LINE = '{0:<10}{1:>14}{2:>9}{3:>16}{4:>9}{5:>12}{6:>14}'
+HEADER = (
+    'group',
+    'acknowledged',
+    'stored',
+    'unknown stored',
+    'missing',
+    'duplicated',
+    'contradicted',
+)
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(self, duration_s: float) -> None:
+        """Prepare a run with `duration_s` seconds of load."""
+        self._duration_s = duration_s
+        self._started_at = time.monotonic()
+        self._group = SHAPE.groups[0]
+        self._killed_at: float = 0
+
+    async def run(self) -> bool:
+        """Run the demo and return whether all counts agree."""
+        self._say('starting platform, databases and entry daemons')
+        async with cluster.Cluster(SHAPE) as deployment:
+            await deployment.wait_healthy()
+            self._say('all entry daemons are healthy; load starts')
+            tally = await self._load(deployment)
+            return await self._conclude(deployment, tally)
+
+    async def _load(self, deployment: cluster.Cluster) -> tallies.Tally:
+        load = runner.Runner(self._plan(deployment))
+        helpers = (
+            asyncio.create_task(self._kill_primary(deployment)),
+            asyncio.create_task(self._show_progress(load.tally)),
+        )
+        try:
+            return await load.run()
+        finally:
+            for helper in helpers:
+                helper.cancel()
+            await asyncio.gather(*helpers, return_exceptions=True)
+
+    def _plan(self, deployment: cluster.Cluster) -> plans.Plan:
+        flood = plans.Flood(
+            plans.Rank.checks,
+            self._duration_s * FLOOD_SHARE,
+            FLOOD_S,
+            FLOOD_RATE,
+        )
+        return plans.Plan(
+            targets=tuple(
+                plans.Address(shapes.HOST, entry.mysql_port)
+                for entry in deployment.entries
+            ),
+            groups=SHAPE.groups,
+            rates=RATES,
+            duration_s=self._duration_s,
+            floods=(flood,),
+            status=tuple(
+                plans.parse_address(entry.peer.address)
+                for entry in deployment.entries
+            ),
+            callers=CALLERS,
+        )
+
+    async def _kill_primary(self, deployment: cluster.Cluster) -> None:
+        await asyncio.sleep(self._duration_s * KILL_SHARE)
+        name = await reconciliation.primary_of(deployment, self._group)
+        program = deployment.slots[self._group, name].program
+        self._killed_at = time.monotonic()
+        await program.kill()
+        self._say(f'killed {name}, the primary of {self._group}')
+        promoted = await reconciliation.primary_of(deployment, self._group)
+        self._say(f'{promoted} is the primary of {self._group}')
+
+    async def _show_progress(self, tally: tallies.Tally) -> None:
+        while True:
+            await asyncio.sleep(PROGRESS_S)
+            served = ', '.join(
+                f'{rank} {counts.results[tallies.Result.served]}'
+                for rank, counts in tally.ranks.items()
+            )
+            refused = sum(
+                counts.sent - counts.results[tallies.Result.served]
+                for counts in tally.ranks.values()
+            )
+            self._say(f'served: {served}; not served: {refused}')
+
+    async def _conclude(
+        self,
+        deployment: cluster.Cluster,
+        tally: tallies.Tally,
+    ) -> bool:
+        self._say('load ended; counting bookings')
+        compared = {
+            group: await reconciliation.reconcile(
+                deployment,
+                group,
+                tally.groups[group],
+            )
+            for group in SHAPE.groups
+        }
+        _show(_table(tally, compared))
+        gap_ms = tally.groups[self._group].longest_gap_ms(
+            max(tally.started_at, self._killed_at - BEFORE_KILL_S),
+            tally.ended_at,
+        )
+        _show(f'Failover gap of {self._group}: {gap_ms:.0f} ms')
+        agrees = self._killed_at > 0 and _agrees(tally, compared)
+        _show('All counts agree.' if agrees else 'THE COUNTS DO NOT AGREE.')
+        return agrees
+
+    def _say(self, text: str) -> None:
+        elapsed_s = time.monotonic() - self._started_at
+        _show(f'[{elapsed_s:5.1f} s] {text}')
+
+
+def _agrees(
+    tally: tallies.Tally,
+    compared: abc.Mapping[str, reconciliation.Reconciliation],
+) -> bool:
+    return not tally.sessions.violations and all(
+        group.agrees and group.acknowledged for group in compared.values()
+    )
+
+
+def _table(
+    tally: tallies.Tally,
+    compared: abc.Mapping[str, reconciliation.Reconciliation],
+) -> str:
+    lines = ['', reports.table(reports.build(tally)), '']
+    lines.append(LINE.format(*HEADER))
+    for name, group in compared.items():
+        lines.append(
+            LINE.format(
+                name,
+                group.acknowledged,
+                group.stored,
+                group.unknown_stored,
+                group.missing,
+                group.duplicated,
+                group.contradicted,
+            ),
+        )
+    return '\n'.join(lines)
+
+
+def _show(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+async def _run_until_signal(duration_s: float) -> int:
+    task = asyncio.ensure_future(Demo(duration_s).run())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    with contextlib.suppress(asyncio.CancelledError):
+        return 0 if await task else 1
+    _show('interrupted; everything was stopped')
+    return INTERRUPTED_STATUS
+
+
+def main(_arguments: abc.Sequence[str]) -> int:
+    """Run the program; the status is 0 only when all counts agree."""
+    try:
+        return asyncio.run(_run_until_signal(FLAGS.duration_s))
+    except (processes.StartError, TimeoutError) as error:
+        _show(f'demo failed: {error}')
+        return 1
+
+
+def run() -> None:
+    """Parse the flags and run the program."""
+    flags.DEFINE_float('duration_s', 25, 'Time under load in seconds.')
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- a/standins/deployment/processes.py
+++ b/standins/deployment/processes.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import typing
+from collections import abc
 
 import standins
 
@@ -17,6 +18,8 @@
 STARTS_AT_A_TIME = 4
 ERROR_TAIL = 2000
 
+Answer = typing.TypeVar('Answer')
+
 _ROOT = pathlib.Path(standins.__file__).parent.parent
 
 
@@ -108,8 +111,10 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
         if self._process is not None and self.running:
+            # `Process.send_signal` may reap an ended child, which the event
+            # loop then reports as unknown.
             with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(number)
+                os.kill(self.pid, number)
 
     async def _wait(self) -> int:
         if self._process is None:
@@ -121,7 +126,7 @@
 
     def _describe(self) -> str:
         text = self.stderr_path.read_text(encoding='utf-8', errors='replace')
-        return f'{self.name} did not start: {text[-ERROR_TAIL:]}'
+        return f'{self.name} did not start: {text[-ERROR_TAIL:].strip()}'
 
 
 class Programs:
@@ -150,3 +155,16 @@
         finally:
             for program in self._programs:
                 program.send_signal(signal.SIGKILL)
+
+
+async def run_together(
+    jobs: abc.Iterable[abc.Coroutine[typing.Any, typing.Any, Answer]],
+) -> list[Answer]:
+    """Return all results; the first failure cancels and awaits the others."""
+    tasks = [asyncio.ensure_future(job) for job in jobs]
+    try:
+        return await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/standins/deployment/services.py
+++ b/standins/deployment/services.py
@@ -17,7 +17,8 @@
 
     def __init__(self, http: aiohttp.ClientSession, port: int) -> None:
         """Use `http`, which raises an exception for error statuses."""
-        self.url = f'http://{shapes.HOST}:{port}'
+        self.address = f'{shapes.HOST}:{port}'
+        self.url = f'http://{self.address}'
         self._http = http
 
     async def get(self, path: str) -> typing.Any:
