--- a/celeryrelay/adapters/peers.py
+++ b/celeryrelay/adapters/peers.py
@@ -30,8 +30,18 @@
 class PeerClient:
     """Sends messages to other daemons over kept-alive connections."""
 
-    def __init__(self, fleet_key: str) -> None:
-        """Prepare a client that authenticates with `fleet_key`."""
+    def __init__(
+        self,
+        fleet_key: str,
+        address_map: abc.Mapping[str, str],
+    ) -> None:
+        """Prepare a client that authenticates with `fleet_key`.
+
+        Args:
+            fleet_key: Key shared by all daemons.
+            address_map: Addresses that are reached through another one.
+        """
+        self._address_map = address_map
         connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -59,7 +69,7 @@
         )
         try:
             async with self._session.post(
-                _url(instance, 'peer/statement'),
+                self._url(instance, 'peer/statement'),
                 data=messages.STATEMENT.dump_json(request),
                 timeout=timeout,
             ) as response:
@@ -101,7 +111,7 @@
         try:
             async with self._session.request(
                 method,
-                _url(instance, path),
+                self._url(instance, path),
                 data=body,
                 timeout=timeout,
             ) as response:
@@ -111,6 +121,10 @@
         except _FAULTS as error:
             return result.Err(PeerFault(sent=True, message=_text(error)))
 
+    def _url(self, instance: str, path: str) -> str:
+        address = self._address_map.get(instance, instance)
+        return 'http://{0}/{1}'.format(address, path)
+
 
 async def _body(
     response: aiohttp.ClientResponse,
@@ -146,10 +160,6 @@
                 return
 
 
-def _url(instance: str, path: str) -> str:
-    return 'http://{0}/{1}'.format(instance, path)
-
-
 def _text(error: BaseException) -> str:
     return '{0}: {1}'.format(type(error).__name__, error)
 
--- a/celeryrelay/conf/settings.py
+++ b/celeryrelay/conf/settings.py
@@ -5,6 +5,7 @@
 import pydantic
 
 Milliseconds = typing.Annotated[float, pydantic.Field(gt=0)]
+Address = typing.Annotated[str, pydantic.Field(pattern=r'^[^:\s]+:\d{1,5}$')]
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
 
 
@@ -86,7 +87,7 @@
     request_timeout_ms: Milliseconds = 400
     suspect_after_ms: Milliseconds = 1500
     list_interval_ms: Milliseconds = 1000
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[Address, ...] = ()
 
 
 class StatementSettings(StrictModel):
@@ -179,6 +180,7 @@
     backend_user: str = 'celeryrelay'
     backend_password_file: str = ''
     log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    address_map: dict[Address, Address] = {}
     listen: ListenSettings = ListenSettings()
     tls: TlsSettings | None = None
     terms: TermSettings = TermSettings()
--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -193,7 +193,10 @@
         self._events = events.EventLog(own, self._clock, options.timeline)
         self._view = view.LiveView(options.control, own)
         self._evidence = evidence.EvidenceTable(own.instance)
-        self._client = peers.PeerClient(self._secrets.fleet_key)
+        self._client = peers.PeerClient(
+            self._secrets.fleet_key,
+            options.address_map,
+        )
         self._http = aiohttp.ClientSession()
         store = platform.PlatformClient(
             options.platform_url,
--- a/celeryrelay/daemon/holders.py
+++ b/celeryrelay/daemon/holders.py
@@ -108,9 +108,11 @@
         group: sets.DatabaseGroup,
     ) -> backends.Address:
         """Return how to connect to a slot."""
+        mapped = self._settings.address_map.get(slot.address, slot.address)
+        host, _, port = mapped.rpartition(':')
         return backends.Address(
-            host=slot.host,
-            port=slot.port,
+            host=host,
+            port=int(port),
             user=self._settings.backend_user,
             password=self._password,
             schema=group.schema,
