Take holder and observer roles only with settled members

Cause: a daemon that has just started knows only itself, so each of six daemons held connections to all slots; 18 to 21 connections were open to a slot with a limit of 20, and a client of the test was refused. Ruled out: a leak in the pool (the count fell back after 5 s).

--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -165,7 +165,8 @@
 
     def healthy(self) -> bool:
         """Return whether the balancer may send connections."""
-        return self.fleet.published is not None and not self.fleet.draining
+        ready = self.fleet.published is not None and self.fleet.settled
+        return ready and not self.fleet.draining
 
     def status(self) -> bytes:
         """Return the status document."""
--- a/celeryrelay/daemon/control.py
+++ b/celeryrelay/daemon/control.py
@@ -21,6 +21,10 @@
 
 FINGERPRINT_CACHE_S = 0.1
 DISCOVERY_ROUNDS = 5
+# Rounds with an answer after which the members of all zones are known, and
+# rounds without any after which the daemon takes itself to be alone.
+SETTLED_ROUNDS = 3
+ALONE_ROUNDS = 15
 GROUP_PREFIX = 'groups/'
 TERM_SUFFIX = '/term'
 _MS_PER_S = 1000
@@ -53,6 +57,7 @@
         self._parts = parts
         self._listed: tuple[str, ...] = tuple(parts.settings.control.seeds)
         self._round = 0
+        self._answers = 0
         self._fingerprint = ('', float(0))
         self._unequal: set[str] = set()
         self._store_down = False
@@ -142,8 +147,10 @@
             self._round += 1
             self.refresh_members()
             targets = self._targets()
-            await asyncio.gather(*map(self._exchange, targets))
+            answered = await asyncio.gather(*map(self._exchange, targets))
+            self._answers += any(answered)
             self.refresh_members()
+            self._settle()
             spent = self._parts.clock.monotonic() - started
             # Jitter keeps daemons that started together from staying so.
             pause = interval_s * random.uniform(0.9, 1.1)  # noqa: S311
@@ -164,7 +171,8 @@
                 > 1
                 else [relay.instance for relay in relays]
             )
-        if self._round % DISCOVERY_ROUNDS == 1 and self._listed:
+        discovers = self._round % DISCOVERY_ROUNDS == 1
+        if self._listed and (discovers or not self._parts.fleet.settled):
             known = {member.instance for member in members}
             unknown = [
                 address
@@ -185,7 +193,15 @@
             chosen.append(others[self._round % len(others)].instance)
         return chosen
 
-    async def _exchange(self, instance: str) -> None:
+    def _settle(self) -> None:
+        if self._parts.fleet.settled:
+            return
+        heard = self._answers >= SETTLED_ROUNDS
+        if heard or self._round >= ALONE_ROUNDS:
+            self._parts.fleet.settled = True
+            self._parts.events.emit('members_settled')
+
+    async def _exchange(self, instance: str) -> bool:
         parts = self._parts
         sent_at = parts.clock.monotonic()
         answered = await parts.client.call(
@@ -197,13 +213,14 @@
             parts.settings.control.request_timeout_ms,
         )
         if answered.is_err():
-            return
+            return False
         decoded = messages.decode(messages.EXCHANGE_REPLY, answered.unwrap())
         match decoded:
             case result.Ok(reply):
                 self._take(instance, reply, sent_at)
             case result.Err(message):
                 _LOG.warning('answer of {0} refused: {1}', instance, message)
+        return decoded.is_ok()
 
     def _request(
         self,
--- a/celeryrelay/daemon/fleet.py
+++ b/celeryrelay/daemon/fleet.py
@@ -28,6 +28,18 @@
 class Fleet:
     """Object set, term records and members as last heard of.
 
+    Attributes:
+        own: Identity of this daemon.
+        published: Object set in force.
+        stamp: Newest reading of the store.
+        entries: Term records as stored, by group.
+        members: Live daemons, this one included.
+        leaving: Addresses of backend servers that are leaving.
+        suspected_groups: Groups whose primary some observer can't reach.
+        draining: Whether a planned stop has begun.
+        settled: Whether the members may be relied on for roles. A daemon that
+            has just started knows only itself and would take all of them.
+
     Only the control task changes it; all other tasks read it and wait for
     changes.
     """
@@ -42,6 +54,7 @@
         self.leaving: frozenset[str] = frozenset()
         self.suspected_groups: frozenset[str] = frozenset()
         self.draining = False
+        self.settled = False
         self._records: dict[str, records.TermRecord] = {}
         self._changed = asyncio.Event()
 
--- a/celeryrelay/daemon/holders.py
+++ b/celeryrelay/daemon/holders.py
@@ -22,7 +22,7 @@
 # and a promoter stay within the connection limit of a slot.
 CONNECTION_SHARE = 4
 MAINTENANCE_S = 0.5
-RELEASE_AFTER_S = 5
+RELEASE_AFTER_S = 1
 
 SlotKey = tuple[str, str]
 
@@ -171,7 +171,7 @@
         return held.holder if held else None
 
     def _is_wanted(self, group: sets.DatabaseGroup, slot: sets.Slot) -> bool:
-        if self._is_leaving(slot):
+        if self._is_leaving(slot) or not self._fleet.settled:
             return False
         names = self._fleet.holders(group.name, slot)
         return self._fleet.own.instance in names and not self._fleet.draining
--- a/celeryrelay/daemon/observer.py
+++ b/celeryrelay/daemon/observer.py
@@ -74,7 +74,7 @@
 
     def _wanted(self) -> dict[tuple[str, str], backends.Address]:
         objects = self._fleet.objects
-        if objects is None:
+        if objects is None or not self._fleet.settled:
             return {}
         return {
             (group.name, slot.name): self._table.address(slot, group)
--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -61,7 +61,8 @@
     def _check_groups(self) -> None:
         parts = self._parts
         objects = parts.fleet.objects
-        if objects is None or parts.fleet.draining:
+        idle = parts.fleet.draining or not parts.fleet.settled
+        if objects is None or idle:
             return
         now = parts.clock.monotonic()
         suspected = set(parts.evidence.suspected(now))
