--- a/celeryrelay/configuration/publication.py
+++ b/celeryrelay/configuration/publication.py
@@ -15,7 +15,7 @@
 from celeryrelay.configuration import differences, documents, steps
 from celeryrelay.core import errors
 
-# Gives up after 7 s if the platform refuses connections.
+# Gives up after about 8 s if the platform refuses connections.
 FAILURE_LIMIT = 8
 RETRY_DELAY_MS = 100
 RETRY_DELAY_LIMIT_MS = 2000
@@ -133,11 +133,11 @@
         if parsed.is_err():
             return self._give_up(_unreadable(parsed.unwrap_err()), final=True)
         document = parsed.unwrap()
-        if self._request.base_revision not in {None, document.revision}:
-            return self._finish(_lost_race(document, self._request))
         self._differences = _differences(document, self._request)
         if not self._differences:
             return self._finish(steps.Unchanged(document.revision))
+        if self._request.base_revision not in {None, document.revision}:
+            return self._finish(_lost_race(document, self._request))
         return self._first_write(document, found.store_revision)
 
     def _on_empty_store(self) -> steps.Command:
--- a/tests/configuration/test_publication.py
+++ b/tests/configuration/test_publication.py
@@ -130,6 +130,13 @@
     assert len(store.history) == 2
 
 
+def test_a_set_that_is_in_force_already_is_no_lost_race():
+    store = NaiveStore()
+    store.history = [stored('a'), stored('b', 2, ['a'])]
+    machine = publication.Publication(request('b', base_revision=1))
+    assert run(machine, store) == steps.Unchanged(2)
+
+
 def test_revisions_go_on_after_the_store_lost_them():
     machine = publication.Publication(request('a', above_revision=57))
     assert run(machine, NaiveStore()).revision == 58
