--- a/tests/configuration/test_differences.py
+++ b/tests/configuration/test_differences.py
@@ -8,7 +8,7 @@
 
 OLD = {
     'routes': [{'name': 'a', 'group': 'g'}, {'name': 'b', 'group': 'g'}],
-    'ranks': [{'rank': 'bookings', 'share': 8}],
+    'ranks': [{'rank': 'bookings', 'share': 1}],
 }
 
 
@@ -27,7 +27,7 @@
         ({**OLD, 'x': []}, ['+ x: []']),
         (
             {**OLD, 'ranks': [{'rank': 'bookings', 'share': True}]},
-            ['~ ranks[bookings].share: 8 -> True'],
+            ['~ ranks[bookings].share: 1 -> True'],
         ),
         # Repeated names can't identify objects.
         (
--- a/tests/configuration/test_publication.py
+++ b/tests/configuration/test_publication.py
@@ -89,13 +89,16 @@
 
 
 @pytest.mark.parametrize('fault', ['lost', 'delayed'])
-def test_a_lost_answer_is_settled_by_reading(fault):
+@pytest.mark.parametrize('before', [[], [stored('base')]])
+def test_a_lost_answer_is_settled_by_reading(before, fault):
     store = NaiveStore()
+    store.history = list(before)
     machine = publication.Publication(request('a'))
     outcome = run(machine, store, ['fine', fault, 'unreachable'])
     store.apply_late()
-    assert outcome.revision == 1
-    assert [value['publication'] for value in store.history] == ['a']
+    assert outcome.revision == len(before) + 1
+    assert [value['publication'] for value in store.history[-1:]] == ['a']
+    assert len(store.history) == len(before) + 1
 
 
 def test_a_publication_that_was_replaced_at_once_counts_as_published():
@@ -137,9 +140,14 @@
     assert run(machine, store) == steps.Unchanged(2)
 
 
-def test_revisions_go_on_after_the_store_lost_them():
+@pytest.mark.parametrize('before', [[], [stored('old', 3)]])
+def test_revisions_go_on_after_the_store_lost_them(before):
+    store = NaiveStore()
+    store.history = list(before)
     machine = publication.Publication(request('a', above_revision=57))
-    assert run(machine, NaiveStore()).revision == 58
+    assert run(machine, store).revision == 58
+    lower = publication.Publication(request('b', above_revision=57))
+    assert run(lower, store).revision == 59
 
 
 @pytest.mark.parametrize('value', [7, {}, stored('a') | {'revision': 0}])
