--- a/tests/management/fakes.py
+++ b/tests/management/fakes.py
@@ -10,7 +10,14 @@
 
 
 class FakePlatform:
-    """Store with one hook; `before_put` runs ahead of the next write."""
+    """Store with faults.
+
+    Attributes:
+        before_put: Runs ahead of the next write.
+        loses_answers: Number of writes that take effect without an answer.
+        status_after_write: Status of all answers after a write, 0 for none;
+            -1 closes the connections instead.
+    """
 
     def __init__(self):
         self.entries = {}
@@ -18,6 +25,7 @@
         self.instances = []
         self.before_put = None
         self.loses_answers = 0
+        self.status_after_write = 0
         self.writes = 0
 
     def put(self, key, value):
@@ -26,6 +34,14 @@
         self.entries[key] = entry
 
     async def handle(self, request):
+        answer = await self._answer(request)
+        if self.writes and self.status_after_write < 0:
+            request.transport.abort()
+        elif self.writes and self.status_after_write:
+            return web.Response(status=self.status_after_write)
+        return answer
+
+    async def _answer(self, request):
         if request.path == '/v1/instances':
             return web.json_response({'instances': self.instances})
         if request.path == '/v1/range':
--- a/tests/management/publishing.feature
+++ b/tests/management/publishing.feature
@@ -47,3 +47,16 @@
     When the operator runs publish
     Then the exit code is 3
     And the text names "nothing was published"
+
+  Scenario Outline: The platform fails while it writes
+    Given a file with another connection limit
+    And the platform answers with <status> after the write
+    When the operator runs publish
+    Then the exit code is 3
+    And the text names "the set may be in force"
+    And revision 2 is in force
+
+    Examples:
+      | status |
+      | 503    |
+      | -1     |
--- a/tests/management/test_publishing.py
+++ b/tests/management/test_publishing.py
@@ -77,6 +77,11 @@
     world.platform.loses_answers = 1
 
 
+@given(parsers.parse('the platform answers with {status:d} after the write'))
+def fail_after_write(world, status):
+    world.platform.status_after_write = status
+
+
 @given('no platform answers')
 def no_platform(world):
     world.url = 'http://127.0.0.1:1'
