--- a/celeryrelay/load/plans.py
+++ b/celeryrelay/load/plans.py
@@ -53,6 +53,7 @@
         duration_s: Time during which statements arrive.
         floods: Additional arrivals.
         status: Peer addresses whose `GET /status` counts reads.
+        fleet_key: Key that `GET /status` requires.
         callers: Connections for each pair of group and rank.
         roam_every: Statements after which a caller reconnects to another
             instance; 0 for never.
@@ -70,6 +71,7 @@
     duration_s: float = 10
     floods: tuple[Flood, ...] = ()
     status: tuple[Address, ...] = ()
+    fleet_key: str = ''
     callers: int = 8
     roam_every: int = 20
     user_pattern: str = '{group}.{rank}'
--- a/celeryrelay/load/runner.py
+++ b/celeryrelay/load/runner.py
@@ -1,17 +1,19 @@
 """Load runs."""
 
 import asyncio
-import contextlib
 import random
 import time
 from collections import abc
 
 import aiohttp
+import logbook
 
 from celeryrelay.load import arrivals, plans, tallies, workload
 
 STATUS_TIMEOUT_S = 2
 
+logger = logbook.Logger('load')
+
 Queues = dict[tuple[str, plans.Rank], asyncio.Queue[workload.Arrival]]
 
 
@@ -36,7 +38,7 @@
 
     async def run(self) -> tallies.Tally:
         """Send all statements and return the counts."""
-        before = await read_counts(self._plan.status)
+        before = await read_counts(self._plan)
         self.tally.started_at = time.monotonic()
         workers = [asyncio.create_task(job) for job in self._workers()]
         try:
@@ -47,7 +49,7 @@
             for task in workers:
                 task.cancel()
             await asyncio.gather(*workers, return_exceptions=True)
-        after = await read_counts(self._plan.status)
+        after = await read_counts(self._plan)
         self.tally.reads = _difference(before, after)
         return self.tally
 
@@ -92,15 +94,20 @@
 
 
 async def read_counts(
-    addresses: tuple[plans.Address, ...],
+    plan: plans.Plan,
 ) -> dict[plans.Address, tallies.ReadCounts]:
     """Return the read counters of the entry instances that answer."""
     counts = {}
-    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as http:
-        for address in addresses:
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+    async with aiohttp.ClientSession(
+        timeout=aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S),
+        headers={'Authorization': f'Bearer {plan.fleet_key}'},
+        raise_for_status=True,
+    ) as http:
+        for address in plan.status:
+            try:
                 counts[address] = await _read_count(http, address)
+            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                logger.warning('{0}: no status: {1!r}', address, error)
     return counts
 
 
--- a/celeryrelay/management/commands/load.py
+++ b/celeryrelay/management/commands/load.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import pathlib
 import sys
 from collections import abc
 
@@ -20,6 +21,7 @@
     """Define the flags of the program."""
     flags.DEFINE_list('targets', None, 'HOST:PORT of entry instances.')
     flags.DEFINE_list('status', [], 'HOST:PORT of peer listeners to ask.')
+    flags.DEFINE_string('fleet_key_file', '', 'Key for --status.')
     flags.DEFINE_list('groups', None, 'Names of the database groups.')
     flags.DEFINE_multi_string('rate', None, 'RANK=STATEMENTS_PER_SECOND.')
     flags.DEFINE_multi_string('flood', [], 'RANK:START_S:DURATION_S:RATE.')
@@ -42,7 +44,10 @@
 
     Raises:
         ValueError: A flag has a wrong form.
+        OSError: The fleet key can't be read.
     """
+    path = FLAGS.fleet_key_file
+    key = pathlib.Path(path).read_text(encoding='utf-8') if path else ''
     return plans.Plan(
         targets=tuple(map(plans.parse_address, FLAGS.targets)),
         groups=tuple(FLAGS.groups),
@@ -50,6 +55,7 @@
         duration_s=FLAGS.duration_s,
         floods=tuple(map(plans.parse_flood, FLAGS.flood)),
         status=tuple(map(plans.parse_address, FLAGS.status)),
+        fleet_key=key.strip(),
         callers=FLAGS.callers,
         roam_every=FLAGS.roam_every,
         user_pattern=FLAGS.user_pattern,
@@ -62,7 +68,7 @@
     """Run the program; the status is 1 after a consistency violation."""
     try:
         plan = build_plan()
-    except ValueError as error:
+    except (ValueError, OSError) as error:
         sys.stderr.write(f'{error}\n')
         return 2
     tally = asyncio.run(runner.Runner(plan).run())
--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -23,7 +23,7 @@
 Rows = abc.Sequence[abc.Sequence[typing.Any]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Slot:
     """A running stand-in database.
 
@@ -31,11 +31,13 @@
         address: Address for daemons, which may be a fault proxy link.
         program: The process.
         port: Port of the database itself.
+        state: Its state on the platform's list.
     """
 
     address: shapes.SlotAddress
     program: processes.Program
     port: int
+    state: str = 'live'
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,6 +69,7 @@
         slots: Slots by group and name.
         entries: Entry daemons, also those that have ended.
         objects: Published operators' objects.
+        fleet_key: Key that the daemons share.
         directory: Temporary directory with settings, stderr and events.
         platform: Client of the platform.
         proxy: Client of the fault proxy, if the shape has links.
@@ -84,6 +87,7 @@
         self.slots: dict[tuple[str, str], Slot] = {}
         self.entries: list[Entry] = []
         self.objects: shapes.Document = {}
+        self.fleet_key = secrets.token_hex(KEY_BYTES)
         self._platform_links: dict[str, int] = {}
         self._entry_count = 0
         self._stack = contextlib.AsyncExitStack()
@@ -128,7 +132,7 @@
             zone,
             f'{shapes.HOST}:{link or peer_port}',
             program,
-            services.Service(self._http, peer_port),
+            services.Service(self._http, peer_port, self.fleet_key),
             program.listening['mysql'],
         )
         self.entries.append(entry)
@@ -138,8 +142,14 @@
     async def register(self) -> None:
         """Set the platform's list to the running processes."""
         databases = [
-            _listed(f'{shapes.HOST}:{slot.address.port}', slot.address.zone)
+            _listed(
+                f'{shapes.HOST}:{slot.address.port}',
+                slot.address.zone,
+                'database',
+                slot.state,
+            )
             for slot in self.slots.values()
+            if slot.program.running
         ]
         entries = [
             _listed(entry.address, entry.zone, 'entry', entry.state)
@@ -174,8 +184,7 @@
         )
         self._programs = processes.Programs(self.directory)
         self._stack.push_async_callback(self._programs.stop)
-        key = secrets.token_hex(KEY_BYTES)
-        (self.directory / 'fleet.key').write_text(key)
+        (self.directory / 'fleet.key').write_text(self.fleet_key)
         await self._start_services()
         await self._start_slots()
         await self._publish()
@@ -305,8 +314,8 @@
 def _listed(
     address: str,
     zone: str,
-    kind: str = 'database',
-    state: str = 'live',
+    kind: str,
+    state: str,
 ) -> shapes.Document:
     return {
         'instance': address,
--- a/standins/deployment/demo.py
+++ b/standins/deployment/demo.py
@@ -103,6 +103,7 @@
                 plans.parse_address(entry.peer.address)
                 for entry in deployment.entries
             ),
+            fleet_key=deployment.fleet_key,
             callers=CALLERS,
         )
 
--- a/standins/deployment/services.py
+++ b/standins/deployment/services.py
@@ -15,21 +15,31 @@
 class Service:
     """A program with an HTTP interface on the loopback interface."""
 
-    def __init__(self, http: aiohttp.ClientSession, port: int) -> None:
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        port: int,
+        fleet_key: str = '',
+    ) -> None:
         """Use `http`, which raises an exception for error statuses."""
+        self._headers = {'Authorization': f'Bearer {fleet_key}'}
         self.address = f'{shapes.HOST}:{port}'
         self.url = f'http://{self.address}'
         self._http = http
 
     async def get(self, path: str) -> typing.Any:
         """Return the answer to a GET."""
-        async with self._http.get(f'{self.url}{path}') as answer:
+        address = f'{self.url}{path}'
+        async with self._http.get(address, headers=self._headers) as answer:
             return await answer.json(content_type=None)
 
     async def post(self, path: str, **fields: typing.Any) -> typing.Any:
         """Return the answer to a POST of an object with `fields`."""
-        address = f'{self.url}{path}'
-        async with self._http.post(address, json=fields) as answer:
+        async with self._http.post(
+            f'{self.url}{path}',
+            json=fields,
+            headers=self._headers,
+        ) as answer:
             return await answer.json(content_type=None)
 
     async def wait_healthy(self) -> None:
--- a/tests/standins/test_cluster.py
+++ b/tests/standins/test_cluster.py
@@ -1,4 +1,8 @@
+import asyncio
+import json
 import os
+import signal
+import sys
 
 import pytest
 
@@ -12,6 +16,19 @@
     init_sql='CREATE TABLE items (id INTEGER PRIMARY KEY);',
     proxied=frozenset(('slots', 'platform')),
 )
+INTERRUPTED = """
+import asyncio, json
+from standins.deployment import cluster, shapes
+
+async def main():
+    shape = shapes.Shape(groups=('group-1',), entries_per_zone=0)
+    async with cluster.Cluster(shape) as deployment:
+        slots = deployment.slots.values()
+        print(json.dumps([slot.program.pid for slot in slots]), flush=True)
+        await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
 
 
 async def test_a_failing_block_leaves_nothing_behind():
@@ -45,4 +62,22 @@
         rows = await deployment.query(
             'group-1', 'slot-1', 'CALL group_wait(1, 0, 1000)'
         )
-        assert rows == ((1, 0),)
+        assert rows == ((1, 0, 0),)
+
+
+async def test_interrupt_leaves_nothing_behind():
+    """Guards against processes that outlive a demo ended with Ctrl-C."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-c',
+        INTERRUPTED,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    pids = json.loads(await process.stdout.readline())
+    process.send_signal(signal.SIGINT)
+    await process.wait()
+    assert pids
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
--- a/tests/standins/test_database.py
+++ b/tests/standins/test_database.py
@@ -19,7 +19,7 @@
 
 async def wait_applied(client, term, offset):
     rows = await client.run(f'CALL group_wait({term}, {offset}, 5000)')
-    assert rows == [(term, offset)]
+    assert rows == [(term, term, offset)]
 
 
 async def test_write_of_an_old_term_is_refused_at_execution(
@@ -120,7 +120,7 @@
     assert time.monotonic() - sent_at >= 0.3
     await replica.run("CALL standin_set('lag_ms', 60000)")
     await writer.run("INSERT INTO items (name) VALUES ('b')")
-    assert await replica.run('CALL group_wait(1, 2, 100)') == [(1, 1)]
+    assert await replica.run('CALL group_wait(1, 2, 100)') == [(1, 1, 1)]
     await replica.run("CALL standin_set('lag_ms', 0)")
     await wait_applied(replica, 1, 2)
 
