--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -216,7 +216,8 @@
                 self._platform_links[zone] = link
 
     async def _start_slots(self) -> None:
-        (self.directory / 'init.sql').write_text(self.shape.init_sql)
+        init_sql = shapes.REQUESTS_TABLE + self.shape.init_sql
+        (self.directory / 'init.sql').write_text(init_sql)
         started = await asyncio.gather(
             *(
                 self._start_slot(group, number)
--- a/standins/deployment/shapes.py
+++ b/standins/deployment/shapes.py
@@ -9,6 +9,15 @@
 
 Document = dict[str, typing.Any]
 
+# Table in which holders keep callers' request ids.
+REQUESTS_TABLE = """
+CREATE TABLE celeryrelay_requests (
+    request_id VARCHAR(64) PRIMARY KEY,
+    affected_rows INTEGER,
+    last_insert_id INTEGER
+);
+"""
+
 # Latency targets in ms, shares and worths of the three ranks.
 RANKS: tuple[Document, ...] = (
     {
@@ -49,7 +58,8 @@
         entries_per_zone: Entry daemons in each zone.
         connection_limit: Connections that each slot accepts.
         slot_flags: Further flags of the stand-in database.
-        init_sql: Statements that set up the tables.
+        init_sql: Statements that set up the tables, apart from that for
+            request ids.
         entry_settings: Settings of the entry daemons that differ from the
             defaults.
         proxied: What is reached through fault proxy links: `slots`,
--- a/tests/management/test_load.py
+++ b/tests/management/test_load.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import json
 import random
 import sys
@@ -57,6 +58,35 @@
     assert report['groups']['group-1']['bookings_acknowledged'] == rows[0][0]
 
 
+async def test_reads_are_attributed_to_primary_and_replicas():
+    """Guards against a replica share that misses some entry instances."""
+    shape = dataclasses.replace(SHAPE, entries_per_zone=2)
+    async with cluster.Cluster(shape) as deployment:
+        await deployment.wait_healthy()
+        plan = plans.Plan(
+            targets=tuple(
+                plans.Address('127.0.0.1', entry.mysql_port)
+                for entry in deployment.entries
+            ),
+            groups=('group-1',),
+            rates=RATES,
+            duration_s=2,
+            callers=2,
+            roam_every=10,
+            status=tuple(
+                plans.parse_address(entry.peer.address)
+                for entry in deployment.entries
+            ),
+            fleet_key=deployment.fleet_key,
+        )
+        tally = await runner.Runner(plan).run()
+    reads = tally.ranks[plans.Rank.checks].results[tallies.Result.served]
+    # Sessions read their own bookings on the bookings connections too.
+    assert tally.reads.primary + tally.reads.replica >= reads > 0
+    assert tally.sessions.checks > 0
+    assert not tally.sessions.violations
+
+
 async def test_missing_own_writes_are_violations():
     """Guards against a read-your-writes check that can't fail."""
     async with cluster.Cluster(SHAPE) as deployment:
