--- a/celeryrelay/accounting/pending.py
+++ b/celeryrelay/accounting/pending.py
@@ -82,6 +82,10 @@
         """Return a copy of the parts that belong to `place`."""
         return dict(self._places[place])
 
+    def size(self, part_id: PartId) -> int:
+        """Return the size in bytes of the batch that a part belongs to."""
+        return self._sizes[part_id]
+
     def confirm(self, place: Place, part_id: PartId) -> None:
         """Note that a part is stored."""
         entries = self._places[place]
--- a/celeryrelay/accounting/relaying.py
+++ b/celeryrelay/accounting/relaying.py
@@ -14,6 +14,9 @@
 # the largest batch it stays below the platform's limit of 1 MB.
 SEAL_BYTES = 600_000
 
+# Upper bound for what a value holds about a source besides the counts.
+SOURCE_BYTES = 300
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Read:
@@ -149,12 +152,32 @@
         stored: merging.Value | None,
         revision: int,
     ) -> Write:
-        fitting = _fitting(flush, stored)
+        fitting = self._fitting(flush, stored)
         flush.written = merging.merge(stored, fitting, flush.number)
         if len(fitting) < len(flush.entries):
             flush.written['sealed'] = True
         return Write(flush.key, flush.written, revision)
 
+    def _fitting(
+        self,
+        flush: _Flush,
+        stored: merging.Value | None,
+    ) -> list[merging.SourcePart]:
+        """Return the parts to add before the value is sealed.
+
+        An empty value takes at least one part, whatever its size.
+        """
+        size = 0 if stored is None else len(merging.dump(stored))
+        fitting: list[merging.SourcePart] = []
+        for part_id, entry in flush.entries.items():
+            # The whole batch is an upper bound for what its part adds.
+            size += self._pending.size(part_id) + SOURCE_BYTES
+            is_empty = stored is None and not fitting
+            if size > SEAL_BYTES and not is_empty:
+                break
+            fitting.append(entry)
+        return fitting
+
     def _check(self, flush: _Flush, raw: object) -> merging.Value | None:
         stored = merging.check(raw).ok()
         if stored is None or stored['deployment'] != self._deployment:
@@ -171,23 +194,3 @@
         for part_id in found:
             flush.entries.pop(part_id)
             self._pending.confirm(flush.place, part_id)
-
-
-def _fitting(
-    flush: _Flush,
-    stored: merging.Value | None,
-) -> list[merging.SourcePart]:
-    """Return the parts to add before the value is sealed.
-
-    An empty value takes at least one part, whatever its size.
-    """
-    size = 0 if stored is None else len(merging.dump(stored))
-    fitting: list[merging.SourcePart] = []
-    for entry in flush.entries.values():
-        # The part's own value is an upper bound for what it adds.
-        size += len(merging.dump(merging.merge(None, [entry])))
-        is_empty = stored is None and not fitting
-        if size > SEAL_BYTES and not is_empty:
-            break
-        fitting.append(entry)
-    return fitting
--- /dev/null
+++ b/celeryrelay/measurement/samples.py
@@ -0,0 +1,202 @@
+"""Sample items whose size and memory are measured.
+
+Records that other parts keep are modelled here with the fields of the design
+page where the part itself is not needed for the figure.
+"""
+
+import dataclasses
+import typing
+
+from celeryrelay.accounting import batches
+from celeryrelay.conf import sets
+from celeryrelay.core import identity, outcomes, positions, ranks
+
+SLOTS = 3
+GROUPS_PER_SESSION = 3
+TERM_HISTORY = 16
+FIRST_TERM = 100
+INSTANCES_PER_NET = 250
+MYSQL_PORT = 3306
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """Model of a caller's session with bounds on three groups."""
+
+    identifier: int
+    route: str
+    user: str
+    schema: str
+    bounds: dict[str, positions.Position]
+    pinned: bool = False
+    in_transaction: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class GroupRecord:
+    """Model of a group's record with a full history of terms."""
+
+    group: str
+    term: int
+    primary: str
+    state: str
+    history: tuple[positions.TermStart, ...]
+    read_at: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """Model of a member of the live view."""
+
+    member_identity: identity.Identity
+    state: str
+    last_heard: float
+    clock: int
+
+
+def sessions(count: int) -> list[Session]:
+    """Return sessions with a position in each of three groups."""
+    return [
+        Session(
+            number,
+            'route-{0}'.format(number % GROUPS_PER_SESSION),
+            'caller',
+            'bookings',
+            {
+                name: positions.Position(name, FIRST_TERM, number + 1000)
+                for name in _names('group', GROUPS_PER_SESSION)
+            },
+        )
+        for number in range(count)
+    ]
+
+
+def group_records(count: int) -> list[GroupRecord]:
+    """Return records with 16 terms."""
+    return [
+        GroupRecord(
+            name,
+            FIRST_TERM + TERM_HISTORY,
+            'slot-0',
+            'open',
+            tuple(
+                positions.TermStart(FIRST_TERM + term, term * 1_000_000)
+                for term in range(TERM_HISTORY)
+            ),
+        )
+        for name in _names('group', count)
+    ]
+
+
+def members(count: int) -> list[Member]:
+    """Return members with identities of their own."""
+    return [
+        Member(
+            identity.Identity(
+                _host(number),
+                'zone-{0:02d}'.format(number % 10),
+                identity.new_incarnation(),
+            ),
+            'live',
+            float(number),
+            number + 1000,
+        )
+        for number in range(count)
+    ]
+
+
+def objects(count: int) -> list[Json | sets.DatabaseGroup | sets.Route]:
+    """Return objects, each as published and as a data class.
+
+    One in four is a database group, the others are its routes by rank.
+    """
+    raw = configuration(max(1, count // 4))['objects'][:count]
+    built = [build_object(content) for content in raw]
+    return [*raw, *built]
+
+
+def configuration(databases: int) -> Json:
+    """Return a published set with one route per database and rank."""
+    content = []
+    for name in _names('group', databases):
+        content.append(_raw_group(name))
+        content.extend(_raw_route(name, rank) for rank in ranks.URGENCY)
+    return {
+        'publication': '0f8fad5b-d9cb-469f-a165-70867728950e',
+        'revision': 900,
+        'objects': content,
+    }
+
+
+def build_object(raw: Json) -> sets.DatabaseGroup | sets.Route:
+    """Return the data class of a raw object, without any check."""
+    keys = {key: raw[key] for key in raw if key != 'kind'}
+    if raw['kind'] == 'route':
+        return sets.Route(**{**keys, 'rank': ranks.Rank(keys['rank'])})
+    keys['slots'] = tuple(sets.Slot(**slot) for slot in keys['slots'])
+    return sets.DatabaseGroup(**keys)
+
+
+def batch(source: int, cells: int) -> batches.Batch:
+    """Return a batch with `cells` pairs of group and rank."""
+    counts: batches.GroupCounts = {}
+    delays: batches.GroupDelays = {}
+    for cell in range(cells):
+        group = 'group-{0:04d}'.format(cell // len(ranks.URGENCY))
+        rank = ranks.URGENCY[cell % len(ranks.URGENCY)]
+        counts.setdefault(group, {})[rank] = {'done': 4, 'failed': 1}
+        delays.setdefault(group, {})[rank] = {
+            outcomes.DelayCause.queue: (2, 12345),
+        }
+    return batches.Batch(
+        'zilina',
+        'zone-01',
+        _host(source),
+        '0123456789abcdef',
+        1,
+        1796377156838,
+        False,  # noqa: WPS425 (order of the message's fields)
+        (batches.Part(1796377150, counts, delays),),
+    )
+
+
+def _names(kind: str, count: int) -> list[str]:
+    return ['{0}-{1:04d}'.format(kind, number) for number in range(count)]
+
+
+def _host(number: int) -> str:
+    net, host = divmod(number, INSTANCES_PER_NET)
+    return '10.0.{0}.{1}:7300'.format(net, host)
+
+
+def _raw_group(name: str) -> Json:
+    return {
+        'kind': 'database_group',
+        'name': name,
+        'connection_limit': 20,
+        'schema': 'bookings',
+        'slots': [
+            {
+                'name': 'slot-{0}'.format(slot),
+                'host': '10.1.{0}.17'.format(slot),
+                'port': MYSQL_PORT,
+                'availability_zone': 'zone-{0:02d}'.format(slot),
+            }
+            for slot in range(SLOTS)
+        ],
+    }
+
+
+def _raw_route(name: str, rank: ranks.Rank) -> Json:
+    return {
+        'kind': 'route',
+        'name': '{0}-{1}'.format(name, rank.value),
+        'user': '{0}-{1}'.format(name, rank.value),
+        'schema': 'bookings',
+        'group': name,
+        'rank': rank.value,
+        'stale_read_rule': 'recent',
+        'password_sha256': 'a' * 64,
+    }
--- a/celeryrelay/timeline/events.py
+++ b/celeryrelay/timeline/events.py
@@ -18,7 +18,8 @@
 PENDING_EVENTS = 512
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# Not frozen: the creation of a frozen instance costs several times as much.
+@dataclasses.dataclass(slots=True)
 class Event:
     """Something that happened in one process.
 
@@ -67,7 +68,7 @@
             'incarnation': self.incarnation,
             'sequence': self.sequence,
             'clock': self.clock,
-            'time_ms': self.time_ms,
+            'time_ms': round(self.time_ms, TIME_DIGITS),
             'kind': self.kind,
         }
         if self.heard:
@@ -119,7 +120,7 @@
             self._identity.incarnation,
             self._sequence,
             self._clock,
-            round(self._process_clock.wall() * MS_PER_SECOND, TIME_DIGITS),
+            self._process_clock.wall() * MS_PER_SECOND,
             kind,
             fields,
             self._heard,
--- a/tests/accounting/test_reports.py
+++ b/tests/accounting/test_reports.py
@@ -18,7 +18,7 @@
 RECORD = batches.FailoverRecord('g', 4, 105500, 600, 3, 606, 20, 10, 4, 2)
 
 
-def make_batches(zone='z1', name='a:1'):
+def make_batches(zone='z1', name='a:1', lost=2):
     """Return batches for 100, for 100 and 110, and the closing one for 110."""
     builder = batches.BatchBuilder(
         identity.Identity(name, zone, 'x'),
@@ -30,7 +30,7 @@
     first = builder.cut(102)
     refusal = outcomes.NotRun(outcomes.Reason.no_primary, '')
     builder.count(105, 'g', ranks.Rank.bookings, refusal)
-    builder.failover(105, RECORD)
+    builder.failover(105, dataclasses.replace(RECORD, lost_positions=lost))
     builder.count(111, 'h', ranks.Rank.checks, outcomes.Done())
     return [first, builder.cut(112), builder.close(113)]
 
@@ -46,8 +46,8 @@
 
 PARTS = [
     entry
-    for name in ('a:1', 'b:1')
-    for batch in make_batches(name=name)
+    for name, lost in (('a:1', 2), ('b:1', None), ('c:1', 1))
+    for batch in make_batches(name=name, lost=lost)
     for entry in merging.split(batch)
     if entry.part.period == 100
 ]
@@ -75,9 +75,9 @@
 
 
 def test_merge_refuses_a_part_of_another_key():
-    wrong = dataclasses.replace(make_batches()[0], zone='z2')
     stored = merging.merge(None, PARTS)
-    for changed in (wrong, dataclasses.replace(wrong, deployment='other')):
+    for wrong in ({'zone': 'z2'}, {'deployment': 'other'}):
+        changed = dataclasses.replace(make_batches()[0], **wrong)
         with pytest.raises(errors.InvariantError):
             merging.merge(stored, merging.split(changed))
     with pytest.raises(errors.InvariantError):
