--- a/celeryrelay/daemon/observer.py
+++ b/celeryrelay/daemon/observer.py
@@ -167,13 +167,13 @@
             primary.port,
         )
         answered = await call_slot(address, sql, FOLLOW_TIMEOUT_MS)
-        self._events.emit(
-            'slot_repaired',
-            group=record.group,
-            slot=slot,
-            term=record.term,
-            accepted=answered.is_ok(),
-        )
+        if answered.is_ok():
+            self._events.emit(
+                'slot_repaired',
+                group=record.group,
+                slot=slot,
+                term=record.term,
+            )
 
 
 async def call_slot(
--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -141,6 +141,7 @@
         self._parts = parts
         self._record = record
         self._since = since
+        self._seen_revision = 0
         self._machine = failover.Failover(
             parts.settings.terms,
             [slot.name for slot in group.slots],
@@ -151,6 +152,7 @@
     async def run(self) -> bool:
         """Run to the end; return whether a new term was opened."""
         entry = self._parts.fleet.entries[self.group.name]
+        self._seen_revision = entry.revision
         self._emit('failover_started', term=self._record.term)
         _LOG.info('failover of {0} started', self.group.name)
         start = commands.Start(self._record, entry.revision, self._since)
@@ -176,7 +178,16 @@
         try:
             return await asyncio.wait_for(self._inbox.get(), TICK_S)
         except TimeoutError:
+            return self._news()
+
+    def _news(self) -> commands.Event:
+        """Return a change that another promoter has made, or a tick."""
+        entry = self._parts.fleet.entries[self.group.name]
+        record = self._parts.fleet.record(self.group.name)
+        if record is None or entry.revision <= self._seen_revision:
             return commands.Tick()
+        self._seen_revision = entry.revision
+        return commands.RecordRead(record, entry.revision)
 
     async def _drain(self) -> None:
         if self._tasks:
