--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -184,7 +184,9 @@
         """Return a change that another promoter has made, or a tick."""
         entry = self._parts.fleet.entries[self.group.name]
         record = self._parts.fleet.record(self.group.name)
-        if record is None or entry.revision <= self._seen_revision:
+        watching = self._machine.phase is failover.Phase.watching
+        known = entry.revision <= self._seen_revision
+        if record is None or known or not watching:
             return commands.Tick()
         self._seen_revision = entry.revision
         return commands.RecordRead(record, entry.revision)
