--- a/celeryrelay/management/reference.py
+++ b/celeryrelay/management/reference.py
@@ -148,12 +148,12 @@
     if name in schema.get('required', ()):
         return 'required'
     match field_schema.get('default'):
+        case ('' | [] | dict()) as default if not default:
+            return 'empty'
         case dict():
             return 'the defaults below'
         case None:
             return 'null'
-        case '':
-            return 'empty'
         case bool() as switch:
             return str(switch).lower()
         case default:
@@ -171,9 +171,9 @@
             )
         case {'enum': names}:
             return ', '.join('`{0}`'.format(name) for name in names)
-        case {'type': 'array'}:
-            return 'list, see below'
-        case {'type': 'object'}:
+        case {'type': 'array', 'items': items}:
+            return 'list of {0}'.format(_allowed(items, definitions))
+        case {'type': 'object', 'properties': _}:
             return 'object, see below'
         case _:
             return _with_limits(field_schema)
