--- a/celeryrelay/conf/settings.py
+++ b/celeryrelay/conf/settings.py
@@ -162,6 +162,8 @@
         backend_user: User name on backend servers.
         backend_password_file: File with that user's password; empty for none.
         log_level: Least level that is logged.
+        address_map: Addresses, `host:port`, that this instance reaches through
+            another one, as behind a port forwarder.
         listen: Listeners.
         tls: Encryption of caller connections; null for none.
         terms: Terms and failover.
--- a/tests/integration/workload.py
+++ b/tests/integration/workload.py
@@ -12,14 +12,7 @@
 
 from standins.deployment import cluster, shapes
 
-INIT_SQL = """
-CREATE TABLE bookings (id VARCHAR(64) PRIMARY KEY, n INTEGER);
-CREATE TABLE celeryrelay_requests (
-    request_id VARCHAR(64) PRIMARY KEY,
-    affected_rows INTEGER,
-    last_insert_id INTEGER
-);
-"""
+INIT_SQL = 'CREATE TABLE bookings (id VARCHAR(64) PRIMARY KEY, n INTEGER);'
 NOT_RUN = 9201
 UNKNOWN = 9202
 STATEMENT_TIMEOUT_S = 12
