Derive roles only after a change of the fleet

Cause: holders, observers and promoters were derived anew up to 20 times a second, which at 750 databases means 2,250 slots with 70 hashes each, and each replica took a position sample every 150 ms. Ruled out: the probes (6.7 a second and slot, 0.3 ms each).

--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -44,7 +44,8 @@
 from celeryrelay.sessions import tokens
 from celeryrelay.timeline import events
 
-RECONCILE_S = 0.05
+RECONCILE_S = 0.5
+DRAIN_CHECK_S = 0.05
 FLUSH_S = 0.2
 _MS_PER_S = 1000
 
@@ -136,6 +137,7 @@
         """Begin a planned stop."""
         if not self.fleet.draining:
             self.fleet.draining = True
+            self.fleet.notify()
             self._view.drain()
             self._events.emit('drain_started')
             _LOG.info('planned stop has begun')
@@ -358,7 +360,7 @@
     async def _reconcile_loop(self) -> None:
         while True:
             self._holders.reconcile()
-            await asyncio.sleep(RECONCILE_S)
+            await self.fleet.wait_for_change(RECONCILE_S)
 
     async def _flush_loop(self) -> None:
         while True:
@@ -371,7 +373,7 @@
         self._callers.stop_listening()
         deadline = self._clock.monotonic() + options.limit_ms / _MS_PER_S
         while self._clock.monotonic() < deadline and self._is_busy():
-            await asyncio.sleep(RECONCILE_S)
+            await asyncio.sleep(DRAIN_CHECK_S)
         self._callers.close_all()
         self._stopped.set()
 
--- a/celeryrelay/daemon/control.py
+++ b/celeryrelay/daemon/control.py
@@ -19,7 +19,7 @@
 from celeryrelay.membership import roles, view
 from celeryrelay.timeline import events
 
-FINGERPRINT_CACHE_S = 0.1
+SUMMARY_CACHE_S = 0.1
 DISCOVERY_ROUNDS = 5
 # Rounds with an answer after which the members of all zones are known, and
 # rounds without any after which the daemon takes itself to be alone.
@@ -46,6 +46,13 @@
     clock: clock.Clock
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ViewSummary:
+    fingerprint: str
+    oldest_age_ms: float
+    made_at: float
+
+
 class Control:
     """Owns the fleet state of this daemon."""
 
@@ -58,7 +65,7 @@
         self._listed: tuple[str, ...] = tuple(parts.settings.control.seeds)
         self._round = 0
         self._answers = 0
-        self._fingerprint = ('', float(0))
+        self._summary: _ViewSummary | None = None
         self._unequal: set[str] = set()
         self._store_down = False
 
@@ -93,7 +100,6 @@
         parts.view.on_digest(map(_digest_entry, request.members), now)
         parts.evidence.take(request.evidence, now)
         self._note_revision(request.configuration, request.instance)
-        self.refresh_members()
         return self._reply(request, now)
 
     def refresh_members(self) -> None:
@@ -101,16 +107,12 @@
         parts = self._parts
         members = parts.view.live(parts.clock.monotonic())
         leaving = parts.view.leaving_addresses()
-        if members == parts.fleet.members and leaving == parts.fleet.leaving:
-            return
-        if members != parts.fleet.members:
+        if parts.fleet.take_members(members, leaving):
             parts.events.emit(
                 'members_changed',
                 members=[member.instance for member in members],
+                leaving=sorted(leaving),
             )
-        parts.fleet.members = members
-        parts.fleet.leaving = leaving
-        parts.fleet.notify()
 
     def _reply(
         self,
@@ -119,21 +121,17 @@
     ) -> messages.ExchangeReply:
         parts = self._parts
         stamp = parts.fleet.stamp
-        fingerprint = self._own_fingerprint(now)
-        same = fingerprint == request.have_members
+        summary = self._view_summary(now)
+        same = summary.fingerprint == request.have_members
         return messages.ExchangeReply(
             clock=parts.events.stamp(),
             age_ms=(now - stamp.sent_at) * _MS_PER_S if stamp else None,
             store=stamp.store if stamp else 0,
-            terms=tuple(
-                entry
-                for entry in parts.fleet.entries.values()
-                if entry.revision > request.have_store
-            ),
+            terms=self._terms_after(request.have_store),
             configuration=self.revision,
-            members_version=fingerprint,
-            oldest_age_ms=parts.view.oldest_age_ms(now),
-            members=None if same else self._digest(now),
+            members_version=summary.fingerprint,
+            oldest_age_ms=summary.oldest_age_ms,
+            members=None if same else _digest(self._parts.view, now),
             leaving=tuple(parts.view.leaving_addresses()),
             suspected=parts.evidence.suspected(now),
             evidence=parts.evidence.everything(now) if request.relay else (),
@@ -199,6 +197,7 @@
         heard = self._answers >= SETTLED_ROUNDS
         if heard or self._round >= ALONE_ROUNDS:
             self._parts.fleet.settled = True
+            self._parts.fleet.notify()
             self._parts.events.emit('members_settled')
 
     async def _exchange(self, instance: str) -> bool:
@@ -241,12 +240,12 @@
             zone=parts.fleet.own.availability_zone,
             clock=parts.events.stamp(),
             have_store=stamp.store if stamp else 0,
-            have_members=self._own_fingerprint(now),
+            have_members=self._view_summary(now).fingerprint,
             configuration=self.revision,
             relay=relay,
             draining=parts.fleet.draining,
             evidence=found,
-            members=self._digest(now) if relay and differs else (),
+            members=_digest(self._parts.view, now) if relay and differs else (),
         )
 
     def _take(
@@ -356,24 +355,46 @@
             self._parts.events.emit(kind)
             _LOG.info(kind.replace('_', ' '))
 
-    def _digest(self, now: float) -> tuple[messages.MemberEntry, ...]:
-        return tuple(
-            messages.MemberEntry(
-                entry.identity.instance,
-                entry.identity.availability_zone,
-                entry.identity.incarnation,
-                entry.age_ms,
-                entry.leaving,
+    def _view_summary(self, now: float) -> _ViewSummary:
+        # A relay answers many requests between two changes of its view.
+        summary = self._summary
+        if summary is None or now - summary.made_at > SUMMARY_CACHE_S:
+            summary = _ViewSummary(
+                self._parts.view.fingerprint(now),
+                self._parts.view.oldest_age_ms(now),
+                now,
             )
-            for entry in self._parts.view.digest(now)
+            self._summary = summary
+        elapsed_ms = (now - summary.made_at) * _MS_PER_S
+        return dataclasses.replace(
+            summary,
+            oldest_age_ms=summary.oldest_age_ms + elapsed_ms,
         )
 
-    def _own_fingerprint(self, now: float) -> str:
-        text, made_at = self._fingerprint
-        if not text or now - made_at > FINGERPRINT_CACHE_S:
-            text = self._parts.view.fingerprint(now)
-            self._fingerprint = (text, now)
-        return text
+    def _terms_after(self, store: int) -> tuple[messages.TermEntry, ...]:
+        if store >= self._parts.fleet.last_change:
+            return ()
+        return tuple(
+            entry
+            for entry in self._parts.fleet.entries.values()
+            if entry.revision > store
+        )
+
+
+def _digest(
+    known: view.LiveView,
+    now: float,
+) -> tuple[messages.MemberEntry, ...]:
+    return tuple(
+        messages.MemberEntry(
+            entry.identity.instance,
+            entry.identity.availability_zone,
+            entry.identity.incarnation,
+            entry.age_ms,
+            entry.leaving,
+        )
+        for entry in known.digest(now)
+    )
 
 
 def _digest_entry(member: messages.MemberEntry) -> view.DigestEntry:
--- a/celeryrelay/daemon/distribution.py
+++ b/celeryrelay/daemon/distribution.py
@@ -114,8 +114,8 @@
         if not isinstance(self.state.offer(published), revisions.Accepted):
             return
         self._stored = orjson.dumps(document)
-        self._fleet.published = published
         self._control.revision = published.revision
+        self._fleet.publish(published)
         self._events.emit(
             'configuration_in_force',
             revision=published.revision,
@@ -123,4 +123,3 @@
             source=source,
         )
         _LOG.info('revision {0} is in force', published.revision)
-        self._fleet.notify()
--- a/celeryrelay/daemon/fleet.py
+++ b/celeryrelay/daemon/fleet.py
@@ -37,6 +37,8 @@
         leaving: Addresses of backend servers that are leaving.
         suspected_groups: Groups whose primary some observer can't reach.
         draining: Whether a planned stop has begun.
+        version: Number that grows with each change that may move roles.
+        last_change: Highest store revision of a known term record.
         settled: Whether the members may be relied on for roles. A daemon that
             has just started knows only itself and would take all of them.
 
@@ -55,6 +57,9 @@
         self.suspected_groups: frozenset[str] = frozenset()
         self.draining = False
         self.settled = False
+        self.version = 0
+        self.last_change = 0
+        self._holders: dict[tuple[str, str], tuple[str, ...]] = {}
         self._records: dict[str, records.TermRecord] = {}
         self._changed = asyncio.Event()
 
@@ -81,6 +86,7 @@
             match records.parse(entry.group, entry.record):
                 case result.Ok(record):
                     self.entries[entry.group] = entry
+                    self.last_change = max(self.last_change, entry.revision)
                     self._records[entry.group] = record
                     changed.append(record)
         if self._is_newer(stamp):
@@ -91,13 +97,38 @@
 
     def holders(self, group: str, slot: sets.Slot) -> tuple[str, ...]:
         """Return the instances that hold connections to a slot."""
-        chosen = roles.holders(
-            group,
-            slot.name,
-            slot.availability_zone,
-            self.members,
-        )
-        return tuple(member.instance for member in chosen)
+        key = (group, slot.name)
+        found = self._holders.get(key)
+        if found is None:
+            chosen = roles.holders(
+                group,
+                slot.name,
+                slot.availability_zone,
+                self.members,
+            )
+            found = tuple(member.instance for member in chosen)
+            self._holders[key] = found
+        return found
+
+    def take_members(
+        self,
+        members: tuple[identity.Identity, ...],
+        leaving: frozenset[str],
+    ) -> bool:
+        """Take the live members; return whether anything changed."""
+        if members == self.members and leaving == self.leaving:
+            return False
+        self.members = members
+        self.leaving = leaving
+        self._holders.clear()
+        self.notify()
+        return True
+
+    def publish(self, published: sets.PublishedSet) -> None:
+        """Put an object set in force."""
+        self.published = published
+        self._holders.clear()
+        self.notify()
 
     def primary(self, group: str) -> str | None:
         """Return the name of the group's primary slot, if known."""
@@ -106,6 +137,7 @@
 
     def notify(self) -> None:
         """Wake all tasks that wait for a change."""
+        self.version += 1
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/celeryrelay/daemon/holders.py
+++ b/celeryrelay/daemon/holders.py
@@ -89,6 +89,8 @@
         self._events = log
         self._clock = clock.SystemClock()
         self._held: dict[SlotKey, _Held] = {}
+        self._wanted: set[SlotKey] = set()
+        self._version = (-1, False)
 
     @property
     def holders(self) -> abc.Mapping[SlotKey, holder.SlotHolder]:
@@ -146,20 +148,37 @@
             yield line
 
     def reconcile(self) -> None:
-        """Start holders that this daemon should have and stop the others."""
+        """Start holders that this daemon should have and stop the others.
+
+        Roles are derived again only after a change of the fleet.
+        """
         objects = self._fleet.objects
         if objects is None:
             return
         now = self._clock.monotonic()
-        for group in objects.groups.values():
-            for slot in group.slots:
-                if self._is_wanted(group, slot):
-                    held = self._hold(group, slot)
-                    held.wanted_at = now
-                    primary = self._fleet.primary(group.name)
-                    held.confirm(is_primary=primary == slot.name)
+        version = (self._fleet.version, self._fleet.settled)
+        if version != self._version:
+            self._version = version
+            self._wanted = {
+                (group.name, slot.name)
+                for group in objects.groups.values()
+                for slot in group.slots
+                if self._is_wanted(group, slot)
+            }
+            self._hold_wanted(objects)
+        for key in self._wanted:
+            self._held[key].wanted_at = now
         self._release(objects, now)
 
+    def _hold_wanted(self, objects: sets.ObjectSet) -> None:
+        for group_name, slot_name in self._wanted:
+            group = objects.groups[group_name]
+            slot = group.slot(slot_name)
+            if slot is not None:
+                held = self._hold(group, slot)
+                primary = self._fleet.primary(group.name)
+                held.confirm(is_primary=primary == slot.name)
+
     def close(self) -> None:
         """Stop all holders."""
         for held in self._held.values():
@@ -173,9 +192,19 @@
     def _is_wanted(self, group: sets.DatabaseGroup, slot: sets.Slot) -> bool:
         if self._is_leaving(slot) or not self._fleet.settled:
             return False
+        if self._is_elsewhere(slot):
+            return False
         names = self._fleet.holders(group.name, slot)
         return self._fleet.own.instance in names and not self._fleet.draining
 
+    def _is_elsewhere(self, slot: sets.Slot) -> bool:
+        """Return whether the slot's own zone has live instances for it."""
+        own = self._fleet.own.availability_zone
+        return slot.availability_zone != own and any(
+            member.availability_zone == slot.availability_zone
+            for member in self._fleet.members
+        )
+
     def _is_leaving(self, slot: sets.Slot) -> bool:
         return slot.address in self._fleet.leaving
 
--- a/celeryrelay/daemon/observer.py
+++ b/celeryrelay/daemon/observer.py
@@ -42,6 +42,7 @@
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._repaired_at: dict[tuple[str, str], float] = {}
         self._silent: set[tuple[str, str]] = set()
+        self._version = (-1, 0)
 
     async def run(self) -> None:
         """Observe until cancelled."""
@@ -56,6 +57,10 @@
                 task.cancel()
 
     def _reconcile(self) -> None:
+        version = (self._fleet.version, len(self._table.holders))
+        if version == self._version:
+            return
+        self._version = version
         wanted = self._wanted()
         for key in tuple(self._tasks):
             if key not in wanted:
--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -15,7 +15,7 @@
 from celeryrelay.terms import messages as commands
 from celeryrelay.timeline import events
 
-CHECK_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.1
 TICK_S = 0.02
 SLOT_CALL_TIMEOUT_MS = 500
 STORE_RETRY_S = 0.1
@@ -66,13 +66,12 @@
             return
         now = parts.clock.monotonic()
         suspected = set(parts.evidence.suspected(now))
-        relays = roles.all_relays(parts.fleet.members)
         for group in objects.groups.values():
             record = parts.fleet.record(group.name)
             if record is None or group.name in self._running:
                 continue
             if self._is_due(group, record, suspected, now):
-                self._consider(group, record, relays, now)
+                self._consider(group, record, now)
             else:
                 self._due_since.pop((group.name, record.term), None)
 
@@ -103,10 +102,9 @@
         self,
         group: sets.DatabaseGroup,
         record: records.TermRecord,
-        relays: roles.Selected,
         now: float,
     ) -> None:
-        chosen = roles.promoters_among(group.name, relays)
+        chosen = roles.promoters(group.name, self._parts.fleet.members)
         own = self._parts.fleet.own
         if own not in chosen:
             return
--- a/celeryrelay/daemon/staleness_feed.py
+++ b/celeryrelay/daemon/staleness_feed.py
@@ -7,6 +7,8 @@
 from celeryrelay.daemon import fleet, forwarding, holder, holders
 
 POSITION_BUDGET_MS = 500
+# A sample has to be younger than the rule allows when the replica reaches it.
+SAMPLES_PER_AGE = 8
 _MS_PER_S = 1000
 
 
@@ -26,29 +28,46 @@
         self._forwarder = forwarder
         self._settings = options
         self._clock = clock.SystemClock()
+        self._sampled_at: dict[tuple[str, str], float] = {}
 
     async def run(self) -> None:
         """Sample until cancelled."""
         interval_s = self._settings.terms.probe_interval_ms / _MS_PER_S
         while True:
-            await asyncio.gather(
-                *(
-                    self._sample(held)
-                    for held in self._holders.holders.values()
-                    if self._needs_samples(held)
-                ),
-            )
+            now = self._clock.monotonic()
+            due = [
+                held
+                for held in self._holders.holders.values()
+                if self._is_due(held, now)
+            ]
+            await asyncio.gather(*map(self._sample, due))
             await asyncio.sleep(interval_s)
 
-    def _needs_samples(self, held: holder.SlotHolder) -> bool:
-        objects = self._fleet.objects
-        group = held.parts.group
-        if self._fleet.primary(group.name) == held.parts.slot.name:
+    def _is_due(self, held: holder.SlotHolder, now: float) -> bool:
+        group = held.parts.group.name
+        if self._fleet.primary(group) == held.parts.slot.name:
             return False
-        return objects is not None and any(
-            route.group == group.name and route.stale_read_rule
+        limit_ms = self._smallest_age_ms(group)
+        if limit_ms is None:
+            return False
+        key = (group, held.parts.slot.name)
+        pause_s = limit_ms / SAMPLES_PER_AGE / _MS_PER_S
+        if now - self._sampled_at.get(key, 0) < pause_s:
+            return False
+        self._sampled_at[key] = now
+        return True
+
+    def _smallest_age_ms(self, group: str) -> float | None:
+        objects = self._fleet.objects
+        if objects is None:
+            return None
+        rules = objects.stale_read_rules
+        ages = [
+            rules[route.stale_read_rule].max_age_ms
             for route in objects.routes
-        )
+            if route.group == group and route.stale_read_rule
+        ]
+        return min(ages, default=None)
 
     async def _sample(self, held: holder.SlotHolder) -> None:
         group = held.parts.group
