--- a/celeryrelay/adapters/logs.py
+++ b/celeryrelay/adapters/logs.py
@@ -64,19 +64,19 @@
     return redact(' '.join(parts)).translate(_LINE_ENDS)
 
 
-def configure(level: str) -> logbook.Handler:
+def configure(level: str) -> logbook.NestedSetup:
     """Log records of `level` and above to standard error.
 
     Returns:
-        The handler, which a test can take off again.
+        The set-up in force; `pop_application` takes it off again.
     """
     logbook.set_datetime_format('utc')
     handler = logbook.StderrHandler(level=level, bubble=False)
     handler.formatter = format_record
     # Records below the level must not reach logbook's default handler.
-    logbook.NullHandler().push_application()
-    handler.push_application()
-    return handler
+    setup = logbook.NestedSetup([logbook.NullHandler(), handler])
+    setup.push_application()
+    return setup
 
 
 def get(prefix: str) -> logbook.Logger:
