--- a/celeryrelay/timeline/merging.py
+++ b/celeryrelay/timeline/merging.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import math
 import typing
 from collections import abc
 
@@ -27,6 +26,7 @@
 LATEST_TIME_MS = 253_370_764_800_000
 
 Process = tuple[str, str]
+_Streams = dict[Process, collections.deque[events.Event]]
 
 
 class HeaderModel(pydantic.BaseModel):
@@ -92,7 +92,7 @@
     merged = []
     while streams:
         process = _next_process(streams, max_skew_ms)
-        merged.append(streams[process].popleft().event)
+        merged.append(streams[process].popleft())
         if not streams[process]:
             streams.pop(process)
     return merged
@@ -113,42 +113,19 @@
     return {process: missing for process, missing in found.items() if missing}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Placed:
-    """An event with the latest wall time that its process had shown."""
-
-    time_ms: float
-    event: events.Event
-
-    def follows(self, other: '_Placed', max_skew_ms: float) -> bool:
-        """Return whether `other` may have preceded this event's message."""
-        if other.event.clock >= self.event.heard:
-            return False
-        return other.time_ms <= self.time_ms + max_skew_ms
-
-
-_Streams = dict[Process, collections.deque[_Placed]]
-
-
 def _streams(recorded: abc.Iterable[events.Event]) -> _Streams:
     by_process: dict[Process, dict[int, events.Event]] = {}
     for event in recorded:
         known = by_process.setdefault(process_of(event), {})
         known.setdefault(event.sequence, event)
     return {
-        process: _placed(by_process[process]) for process in sorted(by_process)
+        process: collections.deque(
+            known[sequence] for sequence in sorted(known)
+        )
+        for process, known in sorted(by_process.items())
     }
 
 
-def _placed(known: dict[int, events.Event]) -> collections.deque[_Placed]:
-    latest = -math.inf
-    placed = collections.deque()
-    for sequence in sorted(known):
-        latest = max(latest, known[sequence].time_ms)
-        placed.append(_Placed(latest, known[sequence]))
-    return placed
-
-
 def _next_process(streams: _Streams, max_skew_ms: float) -> Process:
     chosen = min(streams, key=lambda process: streams[process][0].time_ms)
     preceding = _preceding(streams, chosen, max_skew_ms)
@@ -166,10 +143,15 @@
 ) -> list[tuple[int, Process]]:
     """Return clock and process of next events that go before the chosen."""
     head = streams[chosen][0]
-    if not head.event.heard:
+    if not head.heard:
         return []
+    # A broken event may claim to have heard more than its own clock.
+    heard = min(head.heard, head.clock)
+    latest_ms = head.time_ms + max_skew_ms
     return [
-        (stream[0].event.clock, process)
+        (stream[0].clock, process)
         for process, stream in streams.items()
-        if process != chosen and head.follows(stream[0], max_skew_ms)
+        if process != chosen
+        and stream[0].clock < heard
+        and stream[0].time_ms <= latest_ms
     ]
--- a/tests/accounting/test_relaying.py
+++ b/tests/accounting/test_relaying.py
@@ -312,6 +312,8 @@
         relay.drain()
     assert store.writes == 1
     assert relays[1].book.confirmed('a:1/x') == [[1, 1]]
+    assert relays[1].book.offer(make_batch()) is pending.Offer.already_stored
+    assert relays[1].book.begin() is None
 
 
 def test_one_flush_writes_all_batches_of_a_key_at_once():
