--- a/celeryrelay/accounting/merging.py
+++ b/celeryrelay/accounting/merging.py
@@ -20,6 +20,9 @@
 
 KEY_PREFIX = 'accounts/'
 
+# Raised when the shape of a value changes.
+FORMAT = 1
+
 Value = dict[str, typing.Any]
 Span = typing.Annotated[
     list[batches.Positive],
@@ -49,12 +52,14 @@
     """A value of the store under `accounts/<period>/<zone>[/<number>]`.
 
     Attributes:
+        format: Format of the value.
         number: Place in the chain of values of this period and zone.
         sealed: Whether the value is complete and the next number follows.
     """
 
     model_config = pydantic.ConfigDict(extra='forbid')
 
+    format: typing.Literal[1]
     deployment: str
     period: int
     zone: str
@@ -110,6 +115,12 @@
     return result.Ok(model.model_dump(mode='json'))
 
 
+def is_newer(raw: typing.Any) -> bool:
+    """Return whether a value has a later format than this version writes."""
+    number = raw.get('format') if isinstance(raw, dict) else None
+    return isinstance(number, int) and number > FORMAT
+
+
 def dump(stored: Value) -> bytes:
     """Return the canonical JSON text of a value."""
     return orjson.dumps(stored, option=orjson.OPT_SORT_KEYS)
@@ -155,6 +166,7 @@
 
 def _empty(entry: SourcePart, number: int) -> Value:
     return {
+        'format': FORMAT,
         'deployment': entry.batch.deployment,
         'period': entry.part.period,
         'zone': entry.batch.zone,
--- a/celeryrelay/accounting/relaying.py
+++ b/celeryrelay/accounting/relaying.py
@@ -113,6 +113,10 @@
             return None
         if raw is None:
             return self._write(flush, None, 0)
+        if merging.is_newer(raw):
+            # It may hold these parts; a relay of the later version writes them.
+            self._flush = None
+            return None
         stored = self._check(flush, raw)
         if stored is None:
             return self._next_number(flush)
--- a/tests/accounting/test_relaying.py
+++ b/tests/accounting/test_relaying.py
@@ -371,6 +371,18 @@
     assert store.entries['accounts/100/z/1'][0]['number'] == 1
 
 
+def test_value_of_a_later_version_gets_no_second_copy():
+    value = merging.merge(None, merging.split(make_batch()))
+    store = Store()
+    store.entries['accounts/100/z'] = ({**value, 'format': 2, 'new': 1}, 1)
+    relay = Relay(store)
+    relay.book.offer(make_batch())
+    assert [relay.step(), relay.step()] == [True, True]
+    assert relay.command is None
+    assert relay.book.pending_bytes > 0
+    assert list(store.entries) == ['accounts/100/z']
+
+
 def test_offers_beyond_the_bounds_are_refused():
     book = relaying.RelayBook(DEPLOYMENT)
     other = dataclasses.replace(make_batch(), deployment='other')
