--- a/tests/accounting/test_relaying.py
+++ b/tests/accounting/test_relaying.py
@@ -118,6 +118,14 @@
     return counted
 
 
+def bound_values(seal_bytes, merge_bytes):
+    return mock.patch.multiple(
+        relaying,
+        SEAL_BYTES=seal_bytes,
+        MERGE_BYTES=merge_bytes,
+    )
+
+
 def flatten(report):
     flat = collections.Counter()
     for cell, total in report.cells.items():
@@ -152,7 +160,15 @@
     st.tuples(st.integers(0, 1), st.integers(-30, 30), FAULTS),
     max_size=60,
 )
-SEAL = st.sampled_from([400, 900, 600_000])
+LIMITS = st.sampled_from(
+    [
+        (400, 250_000),
+        (900, 250_000),
+        (900, 1),
+        (600_000, 1),
+        (600_000, 250_000),
+    ],
+)
 
 
 def build_all(sources):
@@ -166,11 +182,11 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=250)
-@given(SOURCES, ACTIONS, SEAL)
+@given(SOURCES, ACTIONS, LIMITS)
 def test_report_equals_naive_count_of_what_was_delivered(
     sources,
     actions,
-    seal_bytes,
+    limits,
 ):
     """Batches arrive in any order, repeatedly, at either relay or nowhere.
 
@@ -181,7 +197,7 @@
     store = Store()
     relays = [Relay(store), Relay(store)]
     delivered = {}
-    with mock.patch.object(relaying, 'SEAL_BYTES', seal_bytes):
+    with bound_values(*limits):
         for index, choice, fault in actions:
             if choice < 0:
                 relays[index].step(fault)
@@ -236,12 +252,12 @@
 @given(
     SOURCES,
     st.lists(st.tuples(st.integers(0, 1), st.integers(0, 5), FAULTS)),
-    SEAL,
+    LIMITS,
 )
 def test_outbox_resends_until_stored_although_relays_restart(
     sources,
     actions,
-    seal_bytes,
+    limits,
 ):
     every = build_all([(counts, True) for counts, _ in sources])
     boxes = collections.defaultdict(outbox.Outbox)
@@ -250,7 +266,7 @@
     store = Store()
     relays = [Relay(store), Relay(store)]
     now = 0
-    with mock.patch.object(relaying, 'SEAL_BYTES', seal_bytes):
+    with bound_values(*limits):
         for index, choice, fault in actions:
             now += 1
             if choice == 0:
@@ -296,6 +312,8 @@
         relay.drain()
     assert store.writes == 1
     assert relays[1].book.confirmed('a:1/x') == [[1, 1]]
+    assert relays[1].book.offer(make_batch()) is pending.Offer.already_stored
+    assert relays[1].book.begin() is None
 
 
 def test_one_flush_writes_all_batches_of_a_key_at_once():
@@ -306,6 +324,17 @@
     assert relay.store.writes == 1
 
 
+def test_flush_merges_a_bounded_size_without_sealing_the_value():
+    relay = Relay(Store())
+    for sequence in range(1, 4):
+        relay.book.offer(make_batch(sequence))
+    with bound_values(600_000, 1):
+        relay.drain()
+    assert relay.store.writes == 3
+    assert list(relay.store.entries) == ['accounts/100/z']
+    assert not relay.store.values()[0]['sealed']
+
+
 def test_spanning_batch_is_confirmed_only_when_all_parts_are_stored():
     relay = Relay(Store())
     relay.book.offer(make_batch(seconds=(100, 110)))
@@ -342,6 +371,18 @@
     assert store.entries['accounts/100/z/1'][0]['number'] == 1
 
 
+def test_value_of_a_later_version_gets_no_second_copy():
+    value = merging.merge(None, merging.split(make_batch()))
+    store = Store()
+    store.entries['accounts/100/z'] = ({**value, 'format': 2, 'new': 1}, 1)
+    relay = Relay(store)
+    relay.book.offer(make_batch())
+    assert [relay.step(), relay.step()] == [True, True]
+    assert relay.command is None
+    assert relay.book.pending_bytes > 0
+    assert list(store.entries) == ['accounts/100/z']
+
+
 def test_offers_beyond_the_bounds_are_refused():
     book = relaying.RelayBook(DEPLOYMENT)
     other = dataclasses.replace(make_batch(), deployment='other')
