--- /dev/null
+++ b/tests/terms/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of terms, write acknowledgement and failover decisions."""
