Test the pool and statement delivery with scripted holders

Found by the generated scripts: a read whose holder failed after some rows was started again on another holder unless the session had noted the rows; the delivery notes them itself now.

--- a/celeryrelay/daemon/delivery.py
+++ b/celeryrelay/daemon/delivery.py
@@ -351,6 +351,8 @@
             if isinstance(line, messages.LAST_LINES):
                 yield self._in_time(messages.outcome_of(line), sent_at)
             else:
+                # Parts of another answer must not follow these.
+                statement.answered |= not isinstance(line, peers.PeerFault)
                 yield line
 
     def _in_time(
--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -205,8 +205,6 @@
                 if isinstance(part, delivery.LAST):
                     last = self._finished(statement, part)
                     part = refusals.named(last, statement.request)
-                else:
-                    statement.answered = True
                 yield part
         finally:
             self._parts.recorder.ended(
--- /dev/null
+++ b/tests/daemon/test_pool.py
@@ -0,0 +1,151 @@
+"""Tests of the connection pool with fake connections."""
+
+import asyncio
+
+import pytest
+import result
+
+from celeryrelay.adapters import backends
+from celeryrelay.conf import settings
+from celeryrelay.core import clock
+from celeryrelay.daemon import pool
+
+ADDRESS = backends.Address('127.0.0.1', 1, 'user', 'password')
+
+
+class FakeConnection:
+    def __init__(self):
+        self.healthy = True
+        self.in_transaction = False
+        self.closed_by_server = False
+        self.last_used = 0
+        self.answers = True
+
+    async def query(self, sql, timeout_ms):
+        await asyncio.sleep(0)
+        if self.answers:
+            return result.Ok([])
+        return result.Err(backends.Lost('silent'))
+
+    def abort(self):
+        self.healthy = False
+
+
+class FakeServer:
+    def __init__(self):
+        self.opened = []
+        self.refuses = False
+
+    async def connect(self, address, timeout_ms):
+        await asyncio.sleep(0)
+        if self.refuses:
+            return result.Err(backends.ConnectFailure(1040, 'too many'))
+        connection = FakeConnection()
+        self.opened.append(connection)
+        return result.Ok(connection)
+
+    @property
+    def live(self):
+        return [one for one in self.opened if one.healthy]
+
+
+@pytest.fixture
+def server(monkeypatch):
+    fake = FakeServer()
+    monkeypatch.setattr(backends, 'connect', fake.connect)
+    return fake
+
+
+def make_pool(maximum=3, ticker=None):
+    return pool.Pool(
+        ADDRESS,
+        pool.PoolLimits(maximum=maximum, warm=2),
+        settings.StatementSettings(),
+        ticker or clock.ManualClock(),
+    )
+
+
+async def test_warm_up_ends_with_the_warm_number_of_connections(server):
+    """Guards against warming up one idle connection again for ever."""
+    connections = make_pool()
+    await asyncio.wait_for(connections.maintain(), 1)
+    assert len(server.live) == 2
+
+
+async def test_warm_up_gives_up_while_the_server_refuses(server):
+    """Guards against a busy loop on a server that is full."""
+    server.refuses = True
+    await asyncio.wait_for(make_pool().maintain(), 1)
+    assert not server.opened
+
+
+async def test_never_more_connections_than_allowed(server):
+    """Guards against exceeding this holder's share of the limit."""
+    connections = make_pool(maximum=3)
+    taken = [(await connections.acquire()).unwrap() for _ in range(3)]
+    waiter = asyncio.create_task(connections.acquire())
+    await asyncio.sleep(0.01)
+    assert not waiter.done()
+    await connections.maintain()
+    assert len(server.live) == 3
+    connections.release(taken[0])
+    assert (await waiter).unwrap() is taken[0]
+
+
+@pytest.mark.parametrize('state', ['unhealthy', 'in_transaction'])
+async def test_connection_in_unknown_state_is_never_reused(server, state):
+    """Guards against handing a half-read answer to another caller."""
+    connections = make_pool()
+    connection = (await connections.acquire()).unwrap()
+    if state == 'unhealthy':
+        connection.healthy = False
+    else:
+        connection.in_transaction = True
+    connections.release(connection)
+    assert not connection.healthy
+    assert (await connections.acquire()).unwrap() is not connection
+
+
+async def test_connection_closed_by_the_server_is_skipped(server):
+    """Guards against sending a write into a connection that has ended."""
+    connections = make_pool()
+    connection = (await connections.acquire()).unwrap()
+    connections.release(connection)
+    connection.closed_by_server = True
+    assert (await connections.acquire()).unwrap() is not connection
+
+
+async def test_silent_idle_connection_is_replaced(server):
+    """Guards against a connection that something on the way has forgotten."""
+    ticker = clock.ManualClock()
+    connections = make_pool(ticker=ticker)
+    await connections.maintain()
+    for connection in server.opened:
+        connection.answers = False
+    ticker.advance(5)
+    await connections.maintain()
+    assert len(server.live) == 2
+    assert not any(one.healthy for one in server.opened[:2])
+
+
+async def test_failed_acquire_gives_its_place_back(server):
+    """Guards against losing a place with each refused connection."""
+    connections = make_pool(maximum=1)
+    server.refuses = True
+    assert (await connections.acquire()).is_err()
+    server.refuses = False
+    acquired = await asyncio.wait_for(connections.acquire(), 1)
+    assert acquired.is_ok()
+
+
+async def test_cancelled_waiter_does_not_take_a_place(server):
+    """Guards against leaking places of callers that went away."""
+    connections = make_pool(maximum=1)
+    held = (await connections.acquire()).unwrap()
+    waiter = asyncio.create_task(connections.acquire())
+    await asyncio.sleep(0)
+    waiter.cancel()
+    await asyncio.gather(waiter, return_exceptions=True)
+    connections.release(held)
+    acquired = await asyncio.wait_for(connections.acquire(), 1)
+    assert acquired.is_ok()
--- a/tests/integration/test_failover.py
+++ b/tests/integration/test_failover.py
@@ -42,10 +42,9 @@
         killed_at = time.time()
         await deployment.slots['group-1', 'slot-0'].program.kill()
         await workload.wait_for_term(deployment, 2)
-        await asyncio.sleep(1.5)
-    after = [at for at in tally.acknowledged.values() if at > killed_at + 0.1]
-    assert min(after) - killed_at < 6, 'target: a failover is over within 6 s'
-    assert len(after) > 20
+        served = await workload.acknowledged_after(tally, time.time(), 20)
+    # The target: a change of primary is over within 6 s.
+    assert min(served) - killed_at < 6
     await workload.assert_bookings(deployment, tally)
 
 
--- a/tests/integration/workload.py
+++ b/tests/integration/workload.py
@@ -164,6 +164,16 @@
             await asyncio.sleep(0.05)
 
 
+async def acknowledged_after(tally, since, count, timeout_s=10):
+    """Wait for bookings acknowledged after a time; return their times."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            found = [at for at in tally.acknowledged.values() if at > since]
+            if len(found) >= count:
+                return found
+            await asyncio.sleep(0.05)
+
+
 async def stored_bookings(deployment, group='group-1'):
     """Return the bookings in the log of the present primary, with counts."""
     found = await record(deployment, group)
