--- a/celeryrelay/terms/protocol.py
+++ b/celeryrelay/terms/protocol.py
@@ -141,7 +141,7 @@
     replicated: tuple[bool, ...] = (True, False)
     promoters: int = 2
     last_term: int = 3
-    lost_answers: int = 1
+    lost_answers: int = 0
 
 
 def first_state(bounds: Bounds) -> State:
