--- a/celeryrelay/admission/backlog.py
+++ b/celeryrelay/admission/backlog.py
@@ -99,9 +99,14 @@
         return [rank for rank, queue in self.queues.items() if queue]
 
     def on_arrival(self, rank: ranks.Rank, now: float) -> None:
-        """Note that a ticket of `rank` arrived, whatever becomes of it."""
+        """Note that a ticket of `rank` arrived, whatever becomes of it.
+
+        The demand is counted in usual service times: a slow server would
+        otherwise look like a flood, and the first rank would lose its place
+        when it needs it most.
+        """
         if rank is ranks.URGENCY[0]:
-            self._demand.on_arrival(self.estimates[rank].mean_ms, now)
+            self._demand.on_arrival(self.estimates[rank].usual_ms, now)
 
     def take(self, now: float, limit: int) -> decisions.Ticket:
         """Remove and return the ticket that starts next.
@@ -143,8 +148,6 @@
         An empty queue takes any ticket: a high estimate without a waiting
         ticket would never be corrected.
         """
-        if not self.queues[ticket.rank]:
-            return False
         left_ms = (ticket.deadline - now) * 1000 - self._margin_ms(ticket)
         return self._wait_ms(ticket.rank, now, limit) > left_ms
 
--- a/celeryrelay/admission/estimates.py
+++ b/celeryrelay/admission/estimates.py
@@ -31,6 +31,11 @@
         """Return the expected service time in milliseconds."""
         return self._fast_ms
 
+    @property
+    def usual_ms(self) -> float:
+        """Return the mean service time of the last minute."""
+        return self._usual_ms
+
     def on_sample(self, service_ms: float, now: float) -> None:
         """Note a service time in milliseconds at `now`."""
         self._samples += 1
--- a/celeryrelay/routing/classification.py
+++ b/celeryrelay/routing/classification.py
@@ -286,8 +286,6 @@
         expressions.DDL,
         expressions.DML,
         expressions.Command,
-        expressions.Into,
-        expressions.Lock,
         expressions.Parameter,
         expressions.PropertyEQ,
     )
--- a/tests/admission/test_budget.py
+++ b/tests/admission/test_budget.py
@@ -29,3 +29,10 @@
     for _ in range(4):
         retries.on_request()
     assert retries.take()
+
+
+def test_quiet_hours_do_not_pay_for_a_burst_of_retries():
+    retries = budget.RetryBudget(ratio=0.25, burst=4)
+    for _ in range(1000):
+        retries.on_request()
+    assert [retries.take() for _ in range(6)] == [True] * 4 + [False] * 2
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -145,9 +145,10 @@
 class Flood:
     """Feeds one queue with open-loop arrivals of constant service time."""
 
-    def __init__(self, maximum, service_ms=20):
+    def __init__(self, maximum, service_ms=20, hold_ms=None):
         self.admission, self.limit = new_queue(maximum)
         self.service_ms = service_ms
+        self.hold_ms = hold_ms or dict.fromkeys(ranks.Rank, service_ms)
         self.ends = []
         self.arrived = {}
         self.ranks = {}
@@ -183,7 +184,7 @@
             match decision:
                 case queue.Start():
                     self.waits[self.ranks[key]].append(now - self.arrived[key])
-                    end = now + self.service_ms / 1000
+                    end = now + self.hold_ms[self.ranks[key]] / 1000
                     heapq.heappush(self.ends, (end, key))
                 case queue.Refuse():
                     self.refused.append(decision)
@@ -258,6 +259,105 @@
     assert admission.offer(ticket, 1) == queue.Wait(4)
 
 
+def serve_bookings(admission, numbers, service_ms, now):
+    """Serve one booking after the other while a second caller gives up."""
+    for key in numbers:
+        deadline = now + 1
+        ticket = queue.Ticket(key, ranks.Rank.bookings, now, deadline)
+        assert admission.offer(ticket, now) == queue.Start(key)
+        left = queue.Ticket(-key - 1, ranks.Rank.bookings, now, deadline)
+        admission.offer(left, now)
+        admission.cancel(left.ticket_id)
+        now += service_ms / 1000
+        assert not admission.release(key, now, service_ms, ok=True)
+    return now
+
+
+def offer_to_busy_place(admission, now, *waiting):
+    """Start a booking and let tickets wait behind it."""
+    for key, rank in (('running', ranks.Rank.bookings), *waiting):
+        admission.offer(queue.Ticket(key, rank, now, now + 1), now)
+
+
+def test_a_slow_server_does_not_look_like_a_flood_of_bookings():
+    admission, _ = new_queue(1)
+    now = serve_bookings(admission, range(200), 10, now=0)
+    now = serve_bookings(admission, range(200, 240), 150, now + 5)
+    offer_to_busy_place(
+        admission,
+        now,
+        ('check', ranks.Rank.checks),
+        ('booking', ranks.Rank.bookings),
+    )
+    found = admission.release('running', now + 0.15, 150, ok=True)
+    assert found == [queue.Start('booking')]
+
+
+def test_bookings_within_target_go_first_even_in_a_flood_of_bookings():
+    admission, _ = new_queue(1)
+    now = serve_bookings(admission, range(300), 20, now=0)
+    offer_to_busy_place(
+        admission,
+        now,
+        ('check', ranks.Rank.checks),
+        ('booking', ranks.Rank.bookings),
+    )
+    found = admission.release('running', now + 0.04, 20, ok=True)
+    assert found == [queue.Start('booking')]
+
+
+def test_bookings_above_target_in_a_flood_leave_the_others_their_share():
+    admission, _ = new_queue(1)
+    now = serve_bookings(admission, range(300), 20, now=0)
+    offer_to_busy_place(
+        admission,
+        now,
+        ('check', ranks.Rank.checks),
+        ('booking', ranks.Rank.bookings),
+    )
+    found = admission.release('running', now + 0.06, 20, ok=True)
+    assert found == [queue.Start('check')]
+
+
+def test_a_ticket_past_its_deadline_is_refused_by_a_free_queue():
+    admission, _ = new_queue(1)
+    refused = admission.offer(queue.Ticket(1, ranks.Rank.checks, 0, 1), 1)
+    assert refused.reason is outcomes.Reason.deadline
+    assert not admission.running
+
+
+def test_a_ticket_without_time_for_its_service_is_not_started():
+    admission, _ = new_queue(1)
+    now = serve_bookings(admission, range(20), 50, now=0)
+    offer_to_busy_place(admission, now, ('booking', ranks.Rank.bookings))
+    found = admission.release('running', now + 0.95, 50, ok=True)
+    assert [type(decision) for decision in found] == [queue.Refuse]
+
+
+def test_shares_count_the_time_that_a_connection_is_held():
+    hold_ms = {
+        ranks.Rank.bookings: 20,
+        ranks.Rank.checks: 120,
+        ranks.Rank.reports: 20,
+    }
+    flood = Flood(4, hold_ms=hold_ms)
+    flood.run(dict.fromkeys(ranks.Rank, CAPACITY * 2), duration=30)
+    used = {rank: len(flood.waits[rank]) * hold_ms[rank] for rank in ranks.Rank}
+    for rank in ranks.Rank:
+        part = used[rank] / sum(used.values())
+        assert part == pytest.approx(POLICIES[rank].share / 10, abs=0.08)
+
+
+def test_failures_reach_the_limit():
+    admission, limit = new_queue(4)
+    for key in range(40):
+        now = key / 10
+        ticket = queue.Ticket(key, ranks.Rank.checks, now, now + 1)
+        assert admission.offer(ticket, now) == queue.Start(key)
+        admission.release(key, now + 0.05, 50, ok=False)
+    assert limit.current == 1
+
+
 def test_release_of_an_unknown_ticket_is_a_broken_invariant():
     admission, _ = new_queue(1)
     with pytest.raises(errors.InvariantError):
