Follow the new term with reads that wait out a failover

Cause: a read took its bound (term, offset) once. When it then waited for a new primary, the bound still named the old term, so the new primary refused it as lagging until the rank's deadline, and the reader got 9201 in place of its rows or of 9203.

Ruled out: the hold itself, since writes held in the same failover went on; a late record at the entry, since the refusals went on after the new term was known.

Conclusion: the bound is taken anew after each wait.

--- a/celeryrelay/daemon/delivery.py
+++ b/celeryrelay/daemon/delivery.py
@@ -24,24 +24,6 @@
     outcomes.OutcomeUnknown,
 )
 
-# Refusals after which the statement may be tried again, because another
-# holder, another slot or the next primary can take it.
-PASSING = frozenset(
-    (
-        outcomes.Reason.no_holder,
-        outcomes.Reason.no_primary,
-        outcomes.Reason.not_holder,
-        outcomes.Reason.term_unknown,
-        outcomes.Reason.term_closed,
-        outcomes.Reason.connections,
-        outcomes.Reason.connection_lost,
-        outcomes.Reason.draining,
-        outcomes.Reason.leaving,
-        outcomes.Reason.unconfirmed,
-        outcomes.Reason.lagging,
-    )
-)
-
 
 @dataclasses.dataclass(slots=True)
 class Statement:
@@ -114,6 +96,12 @@
     transaction: OpenTransaction
 
 
+Renew = abc.Callable[
+    [messages.StatementRequest],
+    messages.StatementRequest | outcomes.NotRun,
+]
+
+
 @dataclasses.dataclass(slots=True)
 class DeliveryParts:
     """What statements are delivered with."""
@@ -167,8 +155,17 @@
         self,
         statement: Statement,
         request: messages.StatementRequest,
+        renew: Renew,
     ) -> Parts:
-        """Run a read on a replica, or on the primary if it can't."""
+        """Run a read on a replica, or on the primary if it can't.
+
+        Args:
+            statement: The read.
+            request: Its message with the bound at present.
+            renew: Returns the message with the bound after a change of the
+                fleet. A bound of the old term would be refused by the new
+                primary until the deadline.
+        """
         replica = self.replica(statement.group)
         if replica is not None:
             refusal = None
@@ -180,36 +177,50 @@
             if refusal is None:
                 return
             self._parts.retries.take()
-            if refusal.reason not in PASSING:
+            if refusal.reason not in refusals.PASSING:
                 yield refusal
                 return
-        async for part in self.on_primary(statement, request):
+        async for part in self.on_primary(statement, request, renew):
             yield part
 
     async def on_primary(
         self,
         statement: Statement,
         request: messages.StatementRequest,
+        renew: Renew | None = None,
     ) -> Parts:
         """Run a statement on the primary, waiting out a failover."""
         while True:
-            refusal = refusals.unknown_primary()
-            name = self._parts.fleet.primary(statement.group.name)
-            slot = statement.group.slot(name) if name else None
-            if slot is not None:
-                refused = None
-                async for part in self.on_slot(statement, request, slot):
-                    if isinstance(part, outcomes.NotRun):
-                        refused = part
-                    else:
-                        yield part
-                if refused is None:
-                    return
-                refusal = refused
-            passing = refusal.reason in PASSING
+            refusal = None
+            async for part in self._on_known_primary(statement, request):
+                if isinstance(part, outcomes.NotRun):
+                    refusal = part
+                else:
+                    yield part
+            if refusal is None:
+                return
+            passing = refusal.reason in refusals.PASSING
             if not passing or not await self.hold(statement):
                 yield refusal
                 return
+            renewed = renew(request) if renew else request
+            if isinstance(renewed, outcomes.NotRun):
+                yield renewed
+                return
+            request = renewed
+
+    async def _on_known_primary(
+        self,
+        statement: Statement,
+        request: messages.StatementRequest,
+    ) -> Parts:
+        name = self._parts.fleet.primary(statement.group.name)
+        slot = statement.group.slot(name) if name else None
+        if slot is None:
+            yield refusals.unknown_primary()
+            return
+        async for part in self.on_slot(statement, request, slot):
+            yield part
 
     async def on_slot(
         self,
@@ -230,7 +241,7 @@
             if refused is None:
                 return
             refusal = refused
-            if refusal.reason not in PASSING:
+            if refusal.reason not in refusals.PASSING:
                 break
         yield refusal
 
--- a/celeryrelay/daemon/refusals.py
+++ b/celeryrelay/daemon/refusals.py
@@ -10,6 +10,24 @@
 ERROR_ROLLED_BACK = 1213
 SQLSTATE_ROLLED_BACK = '40001'
 
+# Refusals after which the statement may be tried again, because another
+# holder, another slot or the next primary can take it.
+PASSING = frozenset(
+    (
+        outcomes.Reason.no_holder,
+        outcomes.Reason.no_primary,
+        outcomes.Reason.not_holder,
+        outcomes.Reason.term_unknown,
+        outcomes.Reason.term_closed,
+        outcomes.Reason.connections,
+        outcomes.Reason.connection_lost,
+        outcomes.Reason.draining,
+        outcomes.Reason.leaving,
+        outcomes.Reason.unconfirmed,
+        outcomes.Reason.lagging,
+    )
+)
+
 
 def draining() -> outcomes.NotRun:
     """Return the refusal of an instance that is stopping."""
--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -8,10 +8,15 @@
 from celeryrelay.adapters import callers
 from celeryrelay.conf import sets
 from celeryrelay.core import messages, outcomes, positions
-from celeryrelay.daemon import delivery, preparation, recording, refusals
+from celeryrelay.daemon import (
+    delivery,
+    preparation,
+    read_bounds,
+    recording,
+    refusals,
+)
 from celeryrelay.routing import kinds
 from celeryrelay.sessions import bounds, tokens
-from celeryrelay.terms import records
 
 TEXT_TYPE = 253
 
@@ -300,9 +305,25 @@
             read_wait_ms=options.read_wait_ms,
             max_age_ms=rule.max_age_ms if rule else None,
         )
-        async for part in self._deliverer.read(statement, message):
+        parts = self._deliverer.read(statement, message, self._renewed)
+        async for part in parts:
             yield part
 
+    def _renewed(
+        self,
+        request: messages.StatementRequest,
+    ) -> messages.StatementRequest | outcomes.NotRun:
+        """Return a read with its bound in the present term."""
+        position = self._bounds.bound(request.group)
+        record = self._fleet.record(request.group)
+        match read_bounds.present_bound(position, record):
+            case messages.Bound() as bound:
+                return dataclasses.replace(request, bound=bound)
+            case outcomes.NotRun() as refusal:
+                return refusal
+            case _:
+                return request
+
     async def _bound(
         self,
         statement: delivery.Statement,
@@ -315,13 +336,12 @@
                 return last
             self._started_groups.add(group)
         while True:
-            record = self._fleet.record(group)
-            position = self._bounds.bound(group)
-            verdict = _survival(position, record)
-            if verdict is bounds.Survival.lost and position is not None:
-                return refusals.lost_position(position)
-            if verdict is bounds.Survival.present and record is not None:
-                return _message_bound(position, record)
+            bound = read_bounds.present_bound(
+                self._bounds.bound(group),
+                self._fleet.record(group),
+            )
+            if bound is not None:
+                return bound
             if not await self._deliverer.hold(statement):
                 return refusals.unknown_primary()
 
@@ -365,23 +385,3 @@
             return outcome.in_transaction
         case _:
             return False
-
-
-def _survival(
-    position: positions.Position | None,
-    record: records.TermRecord | None,
-) -> bounds.Survival:
-    if record is None:
-        return bounds.Survival.ahead
-    if position is None:
-        return bounds.Survival.present
-    return bounds.survives(position, record.term, record.history)
-
-
-def _message_bound(
-    position: positions.Position | None,
-    record: records.TermRecord,
-) -> messages.Bound:
-    # Slots are in the last opened term while a later one is still closed.
-    opened = record.history[-1].term if record.history else record.term
-    return messages.Bound(opened, position.offset if position else 0)
--- /dev/null
+++ b/tests/integration/connections.py
@@ -0,0 +1,119 @@
+"""Single connections and conditions for the integration tests."""
+
+import asyncio
+import contextlib
+import time
+import uuid
+
+import aiomysql
+import pymysql
+
+from standins.deployment import shapes
+
+ANSWER_TIMEOUT_S = 15
+POLL_S = 0.05
+
+
+async def connect(
+    entry, rank='bookings', group='group-1', token='', autocommit=None
+):
+    """Connect to an entry instance, with a token as connection attribute."""
+    connection = aiomysql.Connection(
+        host=shapes.HOST,
+        port=entry.mysql_port,
+        user=shapes.user_name(group, rank),
+        autocommit=autocommit,
+        charset='utf8mb4',
+    )
+    if token:
+        # The library offers no parameter for further attributes.
+        connection._connect_attrs['celeryrelay_token'] = token
+    await asyncio.wait_for(connection._connect(), ANSWER_TIMEOUT_S)
+    return connection
+
+
+@contextlib.asynccontextmanager
+async def connected(*places, **options):
+    connection = await connect(*places, **options)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+async def run(connection, sql):
+    """Run a statement and return its rows."""
+    cursor = await connection.cursor()
+    await asyncio.wait_for(cursor.execute(sql), ANSWER_TIMEOUT_S)
+    return await cursor.fetchall()
+
+
+async def error_code(connection, sql):
+    """Run a statement that has to fail; return its error code."""
+    try:
+        rows = await run(connection, sql)
+    except pymysql.MySQLError as error:
+        return error.args[0]
+    raise AssertionError(f'{sql} succeeded with {rows}')
+
+
+async def token_of(connection):
+    return (await run(connection, 'SELECT @@celeryrelay_token'))[0][0]
+
+
+async def until(condition, timeout_s=15):
+    """Wait until an asynchronous condition holds; return its value."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            found = await condition()
+            if found:
+                return found
+            await asyncio.sleep(POLL_S)
+
+
+async def statuses(deployment):
+    """Return the status documents of all running entry instances."""
+    return [
+        await entry.peer.get('/status')
+        for entry in deployment.entries
+        if entry.program.running
+    ]
+
+
+async def total(deployment, name):
+    """Return the sum of a counter over all entry instances."""
+    return sum(status[name] for status in await statuses(deployment))
+
+
+async def set_tuning(deployment, group, **values):
+    """Change values of all running slots of a group."""
+    for (name, slot), found in deployment.slots.items():
+        if name == group and found.program.running:
+            for key, number in values.items():
+                await deployment.query(
+                    group, slot, f"CALL standin_set('{key}', {number})"
+                )
+
+
+async def change_objects(deployment, change):
+    """Publish changed objects directly; wait until they are in force."""
+    stored = await deployment.platform.value('configuration')
+    change(stored['objects'])
+    revision = stored['revision'] + 1
+    value = {
+        'publication': str(uuid.uuid4()),
+        'revision': revision,
+        'previous': [stored['publication']],
+        'objects': stored['objects'],
+    }
+    await deployment.platform.put('configuration', value)
+
+    async def in_force():
+        found = await statuses(deployment)
+        return all(status['revision'] == revision for status in found)
+
+    await until(in_force)
+
+
+def elapsed_ms(since):
+    return (time.monotonic() - since) * 1000
