Roll back transactions whose entry instance has died

Cause: a holder noticed an abandoned transaction by its idle limit of 30 s only. An entry instance that was killed in the middle of a transaction left the row locks of its callers in place for that time.

Ruled out: callers that disconnect (their entry rolls back at once) and killed holders (the slot sees the closed connection).

Before: test_killed_entry_releases_its_transactions timed out with the transaction open after 5 s. After: test_transactions.py 11 passed. Conclusion: BEGIN carries the incarnation of its entry, and the limit is 3 s while heartbeats of that entry are missing. An idle transaction of a live entry that is cut off from the holder may end earlier, too; its caller is told 1213.

--- a/celeryrelay/core/messages.py
+++ b/celeryrelay/core/messages.py
@@ -34,6 +34,8 @@
         write: Whether the statement may change data.
         durability: When its write may be acknowledged.
         transaction: Id of an open transaction; empty outside of one.
+        entry: Incarnation of the entry that opens a transaction; empty for
+            other statements.
         action: What to do besides running the statement.
         caller_request: Caller's idempotency key; empty if none.
         bound: Least position for a read.
@@ -51,6 +53,7 @@
     write: bool = False
     durability: sets.Durability = sets.Durability.local
     transaction: str = ''
+    entry: str = ''
     action: typing.Literal[
         'run',
         'begin',
--- a/celeryrelay/daemon/control.py
+++ b/celeryrelay/daemon/control.py
@@ -150,6 +150,7 @@
             answered = await asyncio.gather(*map(self._exchange, targets))
             self._answers += any(answered)
             self.refresh_members()
+            self._parts.fleet.heard = _heard(self._parts)
             self._settle()
             spent = self._parts.clock.monotonic() - started
             # Jitter keeps daemons that started together from staying so.
@@ -376,6 +377,13 @@
         return text
 
 
+def _heard(parts: ControlParts) -> frozenset[str]:
+    return frozenset(
+        entry.identity.incarnation
+        for entry in parts.view.digest(parts.clock.monotonic())
+    )
+
+
 def _digest_entry(member: messages.MemberEntry) -> view.DigestEntry:
     return view.DigestEntry(
         identity.Identity(member.instance, member.zone, member.incarnation),
--- a/celeryrelay/daemon/fleet.py
+++ b/celeryrelay/daemon/fleet.py
@@ -34,6 +34,8 @@
         stamp: Newest reading of the store.
         entries: Term records as stored, by group.
         members: Live daemons, this one included.
+        heard: Incarnations of the daemons whose heartbeats arrive, also of
+            those that are leaving.
         leaving: Addresses of backend servers that are leaving.
         suspected_groups: Groups whose primary some observer can't reach.
         draining: Whether a planned stop has begun.
@@ -51,6 +53,7 @@
         self.stamp: Stamp | None = None
         self.entries: dict[str, messages.TermEntry] = {}
         self.members: tuple[identity.Identity, ...] = ()
+        self.heard: frozenset[str] = frozenset()
         self.leaving: frozenset[str] = frozenset()
         self.suspected_groups: frozenset[str] = frozenset()
         self.draining = False
--- a/celeryrelay/daemon/holder.py
+++ b/celeryrelay/daemon/holder.py
@@ -79,9 +79,13 @@
         async for line in lines:
             yield line
 
-    async def expire_transactions(self) -> None:
-        """Roll back transactions that their entry has abandoned."""
-        for transaction in self.transactions.expired():
+    async def expire_transactions(self, heard: abc.Container[str]) -> None:
+        """Roll back transactions that their entry has abandoned.
+
+        Args:
+            heard: Incarnations of the entries whose heartbeats arrive.
+        """
+        for transaction in self.transactions.expired(heard):
             await self._end(transaction, 'ROLLBACK')
 
     async def _admitted(self, request: messages.StatementRequest) -> Lines:
@@ -295,7 +299,7 @@
         if not isinstance(reply, backends.Ok):
             yield _last(replies.refused_or_lost(reply, sent=False))
             return
-        transaction = self.transactions.open(run.request.request, connection)
+        transaction = self.transactions.open(run.request, connection)
         done = outcomes.Done(
             in_transaction=True,
             slot=self.parts.slot.name,
--- a/celeryrelay/daemon/holders.py
+++ b/celeryrelay/daemon/holders.py
@@ -35,8 +35,10 @@
         slot_holder: holder.SlotHolder,
         slot: sets.Slot,
         group: sets.DatabaseGroup,
+        known: fleet.Fleet,
     ) -> None:
         self.holder = slot_holder
+        self._fleet = known
         self.slot = slot
         self.group = group
         self.wanted_at = float(0)
@@ -68,7 +70,7 @@
     async def _maintain(self) -> None:
         while True:
             await self.holder.parts.pool.maintain()
-            await self.holder.expire_transactions()
+            await self.holder.expire_transactions(self._fleet.heard)
             await asyncio.sleep(MAINTENANCE_S)
 
 
@@ -186,7 +188,7 @@
             return held
         if held is not None:
             held.stop()
-        created = _Held(self._create(group, slot), slot, group)
+        created = _Held(self._create(group, slot), slot, group, self._fleet)
         self._held[key] = created
         created.start()
         self._events.emit('holder_started', group=group.name, slot=slot.name)
--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -266,6 +266,7 @@
         message = dataclasses.replace(
             statement.message(),
             action='begin',
+            entry=self._fleet.own.incarnation,
             sql='',
             write=True,
         )
--- a/celeryrelay/daemon/transactions.py
+++ b/celeryrelay/daemon/transactions.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 import secrets
+from collections import abc
 
 from celeryrelay.adapters import backends
-from celeryrelay.core import clock
+from celeryrelay.core import clock, messages
 from celeryrelay.daemon import admission
 
 IDLE_LIMIT_S = 30
+# An entry whose heartbeats are missing may have died with its callers; their
+# row locks then end long before the idle limit.
+ABANDONED_LIMIT_S = 3
 TRANSACTION_ID_BYTES = 8
 
 
@@ -26,6 +30,7 @@
     name: str
     connection: backends.BackendConnection
     last_used: float
+    entry: str
     place: Place | None = None
     busy: bool = False
 
@@ -45,15 +50,15 @@
 
     def open(
         self,
-        request: str,
+        request: messages.StatementRequest,
         connection: backends.BackendConnection,
     ) -> str:
         """Note a new transaction and return its id."""
         name = secrets.token_hex(TRANSACTION_ID_BYTES)
         now = self._clock.monotonic()
-        transaction = Transaction(name, connection, now)
+        transaction = Transaction(name, connection, now, request.entry)
         self._open[name] = transaction
-        self._by_request[request] = transaction
+        self._by_request[request.request] = transaction
         return name
 
     def admit(self, request: str, place: Place) -> None:
@@ -83,14 +88,24 @@
         self._open.pop(transaction.name, None)
         return transaction.place
 
-    def expired(self) -> list[Transaction]:
-        """Return transactions without a statement for the idle limit."""
-        oldest = self._clock.monotonic() - IDLE_LIMIT_S
+    def expired(self, heard: abc.Container[str]) -> list[Transaction]:
+        """Return transactions without a statement for too long.
+
+        Args:
+            heard: Incarnations of the entries whose heartbeats arrive.
+        """
+        now = self._clock.monotonic()
         found = [
             transaction
             for transaction in self._open.values()
-            if not transaction.busy and transaction.last_used < oldest
+            if not transaction.busy
+            and now - transaction.last_used
+            > _limit_s(entry_heard=transaction.entry in heard)
         ]
         for transaction in found:
             transaction.busy = True
         return found
+
+
+def _limit_s(*, entry_heard: bool) -> float:
+    return IDLE_LIMIT_S if entry_heard else ABANDONED_LIMIT_S
--- /dev/null
+++ b/tests/integration/test_transactions.py
@@ -0,0 +1,376 @@
+"""Transactions, large results and values through an entry instance."""
+
+import asyncio
+import itertools
+import pathlib
+
+import aiomysql
+import asyncmy
+import pymysql
+import pytest
+import pytest_asyncio
+
+from standins.deployment import cluster, shapes
+from tests.integration import connections, workload
+
+MAX_PACKET_BYTES = 65536
+PROGRESS_TIMEOUT_MS = 2000
+SHAPE = shapes.Shape(
+    groups=('group-1',),
+    entries_per_zone=2,
+    init_sql=workload.INIT_SQL
+    + """
+CREATE TABLE vals (id INTEGER PRIMARY KEY AUTO_INCREMENT, t TEXT, b BLOB);
+CREATE TABLE digits (d INTEGER);
+INSERT INTO digits VALUES (0),(1),(2),(3),(4),(5),(6),(7),(8),(9);
+""".replace('AUTO_INCREMENT', 'AUTOINCREMENT'),
+    entry_settings={
+        'statements': {
+            'max_packet_bytes': MAX_PACKET_BYTES,
+            'progress_timeout_ms': PROGRESS_TIMEOUT_MS,
+        },
+    },
+    proxied=frozenset(('slots',)),
+)
+# 100,000 rows of about 120 bytes.
+LARGE_RESULT = (
+    "SELECT a.d + 10*b.d + 100*c.d + 1000*e.d + 10000*f.d AS n, '{0}' AS pad "
+    'FROM digits a, digits b, digits c, digits e, digits f'
+).format('x' * 100)
+LARGE_ROWS = 100000
+MEMORY_LIMIT_KB = 64 * 1024
+UNKNOWN = 9202
+ROLLED_BACK = 1213
+PACKET_TOO_LARGE = 1153
+NAMES = (f't{number}' for number in itertools.count())
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def deployment():
+    async with cluster.Cluster(SHAPE) as started:
+        await started.wait_healthy()
+        yield started
+
+
+async def _stored(deployment, name):
+    """Return how many rows of a name the primary has."""
+    sql = f"SELECT COUNT(*) FROM bookings WHERE id LIKE '{name}-%'"
+    found = await workload.record(deployment)
+    rows = await deployment.query('group-1', found['primary'], sql)
+    return int(rows[0][0])
+
+
+async def _begin(connection, name):
+    await connections.run(connection, 'BEGIN')
+    await _insert(connection, name, 0)
+
+
+async def _insert(connection, name, number):
+    await connections.run(
+        connection, f"INSERT INTO bookings VALUES ('{name}-{number}', 0)"
+    )
+
+
+async def _holders(deployment, slot='slot-0'):
+    """Return the entry instances that hold a slot."""
+    found = []
+    for entry in deployment.entries:
+        if entry.program.running:
+            status = await entry.peer.get('/status')
+            if any(held['slot'] == slot for held in status['holders']):
+                found.append(entry)
+    return found
+
+
+async def _open_transactions(deployment):
+    found = await connections.statuses(deployment)
+    return sum(
+        held['transactions'] for status in found for held in status['holders']
+    )
+
+
+async def _assert_none_open(deployment):
+    async def none_open():
+        return not await _open_transactions(deployment)
+
+    await connections.until(none_open, 5)
+
+
+async def _book_in_transactions(entry, name, rounds, results):
+    """Write pairs of rows; note which pairs were committed."""
+    async with connections.connected(entry, 'checks') as connection:
+        for number in range(rounds):
+            pair = f'{name}.{number}'
+            try:
+                await _begin(connection, pair)
+                await asyncio.sleep(0.001)
+                await _insert(connection, pair, 1)
+                ending = 'COMMIT' if number % 3 else 'ROLLBACK'
+                await connections.run(connection, ending)
+            except pymysql.MySQLError as error:
+                results[pair] = error.args[0]
+            else:
+                results[pair] = ending
+
+
+async def test_transactions_of_callers_do_not_mix(deployment):
+    """Guards against a connection that two transactions use at once."""
+    results = {}
+    await asyncio.gather(
+        *(
+            _book_in_transactions(entry, f'{next(NAMES)}', 8, results)
+            for entry in deployment.entries
+        )
+    )
+    for pair, ending in results.items():
+        expected = 2 if ending == 'COMMIT' else 0
+        assert await _stored(deployment, pair) == expected, (pair, ending)
+    assert list(results.values()).count('COMMIT') > 20
+    await _assert_none_open(deployment)
+
+
+async def test_caller_that_leaves_is_rolled_back(deployment):
+    """Guards against a transaction that outlives its caller."""
+    name = next(NAMES)
+    for entry in deployment.entries[:3]:
+        connection = await connections.connect(entry)
+        await _begin(connection, name)
+        connection.close()
+        await _assert_none_open(deployment)
+    assert await _stored(deployment, name) == 0
+    async with connections.connected(deployment.entries[0]) as connection:
+        await _insert(connection, name, 1)
+
+
+async def test_values_arrive_as_stored(deployment):
+    """Guards against values and counts that change on the way.
+
+    Two client libraries, because they read different parts of a packet.
+    """
+    binary = bytes(range(256))
+    for library, entry in itertools.product(
+        (aiomysql, asyncmy), deployment.entries[::3]
+    ):
+        connection = await library.connect(
+            host=shapes.HOST,
+            port=entry.mysql_port,
+            user=shapes.user_name('group-1', 'bookings'),
+            autocommit=None,
+            charset='utf8mb4',
+        )
+        cursor = connection.cursor()
+        if library is aiomysql:
+            cursor = await cursor
+        text = "Žilina 'quoted' \\ and \n"
+        # asyncmy cannot escape bytes, so they are a literal.
+        sql = f"INSERT INTO vals (t, b) VALUES (%s, x'{binary.hex()}')"
+        assert await cursor.execute(sql, (text,)) == 1
+        first = cursor.lastrowid
+        assert first > 0
+        sql = 'INSERT INTO vals (t, b) VALUES (%s, %s)'
+        assert await cursor.execute(sql, (None, None)) == 1
+        assert cursor.lastrowid == first + 1
+        sql = f'SELECT t, b FROM vals WHERE id >= {first} ORDER BY id'
+        await cursor.execute(sql)
+        assert list(await cursor.fetchall()) == [(text, binary), (None, None)]
+        changed = await cursor.execute(
+            f"UPDATE vals SET t = 'x' WHERE id >= {first}"
+        )
+        assert changed == 2
+        await connection.begin()
+        assert connection.get_transaction_status()
+        await cursor.execute("UPDATE vals SET t = 'y'")
+        assert connection.get_transaction_status()
+        await connection.rollback()
+        assert not connection.get_transaction_status()
+        connection.close()
+
+
+def _resident_kb(pid):
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    line = [one for one in status.splitlines() if one.startswith('VmHWM')][0]
+    return int(line.split()[1])
+
+
+async def test_large_result_streams(deployment):
+    """Guards against an entry that keeps a whole result in memory.
+
+    The peak of the resident memory counts, for the holder itself and for an
+    entry that gets the rows from another instance.
+    """
+    entries = {'slot-0': await _holders(deployment), 'other': []}
+    entries['other'] = [
+        one for one in deployment.entries if one not in entries['slot-0']
+    ]
+    for entry in (entries['slot-0'][0], entries['other'][0]):
+        # FOR UPDATE makes it a statement for the primary.
+        async with connections.connected(entry, 'checks') as connection:
+            await connections.run(connection, 'SELECT d FROM digits FOR UPDATE')
+            before = _resident_kb(entry.program.pid)
+            cursor = await connection.cursor(aiomysql.SSCursor)
+            await cursor.execute(f'{LARGE_RESULT} FOR UPDATE')
+            seen = [row[0] for row in await cursor.fetchall()]
+            assert sorted(seen) == list(range(LARGE_ROWS))
+            grown = _resident_kb(entry.program.pid) - before
+            assert grown < MEMORY_LIMIT_KB, f'{grown} kB'
+
+
+async def test_caller_that_stops_reading_costs_its_connection_only(deployment):
+    """Guards against reuse of a connection with unread rows."""
+    for entry in deployment.entries[:4]:
+        connection = await connections.connect(entry, 'checks')
+        cursor = await connection.cursor(aiomysql.SSCursor)
+        await cursor.execute(LARGE_RESULT)
+        await cursor.fetchone()
+        await asyncio.sleep(0.1)
+        connection.close()
+    for entry in deployment.entries:
+        async with connections.connected(entry, 'checks') as connection:
+            for number in range(10):
+                sql = f'SELECT {number}'
+                rows = await connections.run(connection, sql)
+                assert [row[0] for row in rows] == [number]
+    name = next(NAMES)
+    async with connections.connected(deployment.entries[0]) as connection:
+        await _insert(connection, name, 0)
+    assert await _stored(deployment, name) == 1
+
+
+async def test_oversized_statement_is_refused(deployment):
+    """Guards against a statement that fills the daemon's memory."""
+    entry = deployment.entries[0]
+    async with connections.connected(entry) as connection:
+        sql = "SELECT '{0}'".format('x' * (MAX_PACKET_BYTES + 1))
+        code = await connections.error_code(connection, sql)
+        assert code == PACKET_TOO_LARGE
+    async with connections.connected(entry) as connection:
+        assert await connections.run(connection, 'SELECT 1')
+
+
+async def test_garbage_handshake_harms_nobody_else(deployment):
+    """Guards against a daemon that a malformed handshake ends."""
+    entry = deployment.entries[0]
+    for garbage in (
+        b'',
+        b'GET / HTTP/1.1\r\n\r\n',
+        b'\x00' * 64,
+        b'\xff' * 64,
+        b'\x04\x00\x00\x01\xff\xff\xff\xff',
+        b'\x01\x00\x00\x01\x00',
+    ):
+        reader, writer = await asyncio.open_connection(
+            shapes.HOST, entry.mysql_port
+        )
+        await reader.readexactly(4)
+        writer.write(garbage)
+        writer.write_eof()
+        async with asyncio.timeout(5):
+            await reader.read()
+        writer.close()
+    assert entry.program.running
+    async with connections.connected(entry) as connection:
+        assert await connections.run(connection, 'SELECT 1')
+
+
+async def test_silent_connections_end_their_transactions_only(deployment):
+    """Guards against waiting for, or reusing, connections that went silent.
+
+    The transactions hold no row locks, because a slot can't see that a silent
+    connection has ended.
+    """
+    name, late = next(NAMES), next(NAMES)
+    entries = deployment.entries
+    async with (
+        connections.connected(entries[0], 'checks') as first,
+        connections.connected(entries[-1], 'checks') as second,
+        connections.connected(entries[2], 'checks') as third,
+    ):
+        for connection in (first, second):
+            await connections.run(connection, 'BEGIN')
+            await connections.run(connection, 'SELECT 1')
+        await deployment.proxy.set_faults('group-1-slot-0', silent=True)
+        ended = await asyncio.gather(
+            connections.error_code(first, 'COMMIT'),
+            connections.error_code(
+                second, f"INSERT INTO bookings VALUES ('{name}-0', 0)"
+            ),
+        )
+        assert ended == [UNKNOWN, ROLLED_BACK]
+        for number, connection in enumerate((third, first, second)):
+            await _insert(connection, late, number)
+    assert await _stored(deployment, name) == 0
+    assert await _stored(deployment, late) == 3
+    assert (await workload.record(deployment))['term'] == 1
+    await _assert_none_open(deployment)
+
+
+async def test_lost_answer_to_commit_is_unknown(deployment):
+    """Guards against saying that a COMMIT did or did not happen.
+
+    The slot commits and its answer is lost; the connection stays open.
+    """
+    name = next(NAMES)
+    async with connections.connected(deployment.entries[0]) as connection:
+        await _begin(connection, name)
+        link = 'group-1-slot-0'
+        await deployment.proxy.set_faults(link, cut_to_client=True)
+        commit = asyncio.create_task(
+            connections.error_code(connection, 'COMMIT')
+        )
+
+        async def committed():
+            return await _stored(deployment, name)
+
+        await connections.until(committed, 2)
+        await deployment.proxy.set_faults(link, cut_to_client=False)
+        assert await commit == UNKNOWN
+        await _insert(connection, name, 1)
+    assert await _stored(deployment, name) == 2
+    await _assert_none_open(deployment)
+
+
+async def test_killed_entry_releases_its_transactions(deployment):
+    """Guards against row locks of a caller whose entry instance has died."""
+    name = next(NAMES)
+    holders = await _holders(deployment)
+    victim = [one for one in deployment.entries if one not in holders][0]
+    connection = await connections.connect(victim, 'checks')
+    await _begin(connection, name)
+    await victim.program.kill()
+    connection.close()
+    await deployment.register()
+    await _assert_none_open(deployment)
+    async with connections.connected(holders[0], 'checks') as other:
+        await _insert(other, name, 1)
+    assert await _stored(deployment, name) == 1
+
+
+async def test_killed_holder_rolls_back(deployment):
+    """Guards against a transaction that goes on with another holder."""
+    name = next(NAMES)
+    holders = await _holders(deployment)
+    entry = [
+        one
+        for one in deployment.entries
+        if one.program.running and one not in holders
+    ][0]
+    callers = [await connections.connect(entry, 'checks') for _ in range(2)]
+    for connection in callers:
+        await connections.run(connection, 'BEGIN')
+        await connections.run(connection, 'SELECT 1')
+    for holder in holders:
+        status = await holder.peer.get('/status')
+        if any(held['transactions'] for held in status['holders']):
+            await holder.program.kill()
+    await deployment.register()
+    for connection in callers:
+        sql = f"INSERT INTO bookings VALUES ('{name}-0', 0)"
+        code = await connections.error_code(connection, sql)
+        assert code == ROLLED_BACK
+    assert await _stored(deployment, name) == 0
+    await _insert(callers[0], name, 1)
+    assert await _stored(deployment, name) == 1
+    for connection in callers:
+        connection.close()
