Keep a rank from saving up while others use free places

A rank that started without waiting did not move the virtual time, so an idle rank could later take all places for up to the largest lead. The check of the limit in the queue's generated test counted tickets that were already running when the limit fell; it now checks every start against the limit.

--- a/celeryrelay/admission/queue.py
+++ b/celeryrelay/admission/queue.py
@@ -77,6 +77,7 @@
         if not queue:
             self._backlog.shares.activate(ticket.rank)
             if self._has_place():
+                self._backlog.shares.choose((ticket.rank,))
                 return self._start(ticket, now)
         if self._backlog.is_hopeless(ticket, now, limit):
             return self._backlog.refuse(
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -59,7 +59,7 @@
     def of_state(self, state):
         return [key for key, found in self.states.items() if found == state]
 
-    def apply(self, decisions, now, limit_before):
+    def apply(self, decisions, now):
         for decision in decisions:
             key = decision.ticket_id
             assert self.states[key] in {'new', 'waiting'}
@@ -74,7 +74,8 @@
                     assert decision.retry_after_ms > 0
                     self.states[key] = 'refused'
         running = len(self.of_state('running'))
-        assert running <= max(limit_before, self.limit.current)
+        if any(isinstance(decision, queue.Start) for decision in decisions):
+            assert running <= self.limit.current
         assert self.admission.running == running
         assert self.admission.waiting == len(self.of_state('waiting'))
         if self.of_state('waiting'):
@@ -85,23 +86,22 @@
         self.states[key] = 'new'
         self.deadlines[key] = now + duration
         ticket = queue.Ticket(key, rank, now, now + duration)
-        self.apply([self.admission.offer(ticket, now)], now, 0)
+        self.apply([self.admission.offer(ticket, now)], now)
         assert self.states[key] != 'new'
 
     def release(self, now, service_ms, ok):
         running = self.of_state('running')
         if running:
-            before = self.admission.running - 1
             self.states[running[0]] = 'done'
             found = self.admission.release(running[0], now, service_ms, ok)
-            self.apply(found, now, before)
+            self.apply(found, now)
 
     def cancel(self, now):
         waiting = self.of_state('waiting')
         if waiting:
             self.states[waiting[-1]] = 'cancelled'
             self.admission.cancel(waiting[-1])
-            self.apply([], now, self.admission.running)
+            self.apply([], now)
 
 
 def new_queue(maximum, tuning=queue.Tuning()):
@@ -129,8 +129,7 @@
             case 'release':
                 record.release(now, gap_ms * (1 + extra), ok)
             case 'expire':
-                before = admission.running
-                record.apply(admission.expire(now), now, before)
+                record.apply(admission.expire(now), now)
                 waiting = record.of_state('waiting')
                 assert all(record.deadlines[key] > now for key in waiting)
             case 'cancel':
@@ -348,6 +347,40 @@
         assert part == pytest.approx(POLICIES[rank].share / 10, abs=0.08)
 
 
+def test_a_rank_does_not_save_up_while_others_use_free_places():
+    admission, _ = new_queue(1)
+    now = 0
+    for key in range(500):
+        ticket = queue.Ticket(key, ranks.Rank.checks, now, now + 1)
+        assert admission.offer(ticket, now) == queue.Start(key)
+        now += 0.02
+        admission.release(key, now, 20, ok=True)
+    waiting = [
+        (f'{rank} {number}', rank)
+        for number in range(40)
+        for rank in (ranks.Rank.checks, ranks.Rank.reports)
+    ]
+    for key, rank in (('running', ranks.Rank.checks), *waiting):
+        admission.offer(queue.Ticket(key, rank, now, now + 60), now)
+    started = ['running']
+    for _ in range(25):
+        now += 0.02
+        found = admission.release(started[-1], now, 20, ok=True)
+        started.extend(decision.ticket_id for decision in found)
+    checks = [key for key in started[1:] if key.startswith('checks')]
+    assert len(checks) == pytest.approx(15, abs=2)
+
+
+def test_all_free_places_are_filled_when_the_limit_rises():
+    admission, limit = new_queue(4)
+    limit._limit = 1
+    for key in range(6):
+        admission.offer(queue.Ticket(key, ranks.Rank.checks, 0, 10), 0)
+    limit._limit = 4
+    found = admission.release(0, 0.01, 10, ok=True)
+    assert found == [queue.Start(key) for key in (1, 2, 3, 4)]
+
+
 def test_failures_reach_the_limit():
     admission, limit = new_queue(4)
     for key in range(40):
