--- a/celeryrelay/routing/classification.py
+++ b/celeryrelay/routing/classification.py
@@ -256,6 +256,8 @@
 
 
 def _explain(text: str) -> Classification:
+    if _pins(lexing.blank_quoted(text)):
+        return _PINNING
     match = _EXPLAIN.fullmatch(text)
     if not match or match.group('analyze'):
         return _WRITE
--- a/tests/routing/test_classification.py
+++ b/tests/routing/test_classification.py
@@ -96,6 +96,7 @@
         SELECT @a := 1
         SELECT a INTO @x FROM t
         SELECT 1 /*! INTO @x */
+        EXPLAIN FORMAT=JSON INTO @x SELECT 1
         CALL book(@x)
         CREATE TEMPORARY TABLE t (a INT)
         DROP TEMPORARY TABLE t
