--- a/celeryrelay/routing/lexing.py
+++ b/celeryrelay/routing/lexing.py
@@ -16,20 +16,25 @@
 _TRAILING_HINT = re.compile(r'{0}[\s;]*\Z'.format(_HINT.pattern), re.ASCII)
 # Longest trailing hint that is looked for, in characters.
 _HINT_WINDOW = 128
+# The lookahead skips most characters with one comparison; without it every
+# alternative is tried at each of them.
 _TOKEN = re.compile(
     r"""
-    (?P<interval>\binterval\s+(?:'[^'\\]*'|"[^"\\]*"))
-    |(?P<binary>\b[xb]'[0-9a-f]*')
+    (?=['"`/\#\-0-9xXbBiI])(?:
+    (?P<interval>\b[iI][nN][tT][eE][rR][vV][aA][lL]
+        \s+(?:'[^'\\]*'|"[^"\\]*"))
+    |(?P<binary>\b[xXbB]'[0-9a-fA-F]*')
     |(?P<string>'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*")
     |(?P<quoted>`(?:[^`]|``)+`)
-    |(?P<executable>/\*M?!.*?\*/)
+    |(?P<executable>/\*[Mm]?!.*?\*/)
     |(?P<optimizer>/\*\+.*?\*/)
     |(?P<comment>/\*.*?\*/|\#[^\n]*|--(?=[\s\x00-\x1f]|\Z)[^\n]*)
     |(?P<minus>--)
     |(?P<broken>/\*|['"`])
-    |(?P<number>(?<![\w$@.])\d+(?![\w$.]))
+    |(?P<number>(?<![\w$@.])[0-9]+(?![\w$.]))
+    )
     """,
-    re.VERBOSE | re.DOTALL | re.IGNORECASE,
+    re.VERBOSE | re.DOTALL,
 )
 _COMMENT_KINDS = frozenset(('comment', 'optimizer'))
 _REPLACEMENTS = {
