--- a/celeryrelay/terms/model.py
+++ b/celeryrelay/terms/model.py
@@ -22,12 +22,14 @@
     Attributes:
         bounds: Bounds within which every state is visited.
         faults: Rules that are switched off.
+        observed: Writers that are observed; all if empty.
         stop_at_violation: Whether to stop at the first violation.
         state_limit: Number of states at which an incomplete check ends.
     """
 
     bounds: protocol.Bounds = protocol.Bounds()
     faults: frozenset[protocol.Fault] = frozenset()
+    observed: tuple[int, ...] = ()
     stop_at_violation: bool = True
     state_limit: int = 2_000_000
 
@@ -70,7 +72,8 @@
     acknowledgements of one writer change nothing for another.
     """
     searches = []
-    for observed, _ in enumerate(options.bounds.replicated):
+    every_writer = range(len(options.bounds.replicated))
+    for observed in options.observed or every_writer:
         search = _Search(options, observed)
         with _paused_collector():
             search.run()
--- a/tests/terms/test_model.py
+++ b/tests/terms/test_model.py
@@ -25,12 +25,18 @@
 
 
 @pytest.mark.parametrize(
-    'bounds',
-    [protocol.Bounds(), ONE_REPLICATED, ONE_LOCAL, TWO_SLOTS],
-    ids=['two writers', 'one replicated', 'one local', 'two slots'],
+    ('bounds', 'observed'),
+    [
+        (protocol.Bounds(), (0,)),
+        (protocol.Bounds(), (1,)),
+        (ONE_REPLICATED, ()),
+        (ONE_LOCAL, ()),
+        (TWO_SLOTS, ()),
+    ],
+    ids=['replicated of two', 'local of two', 'replicated', 'local', '2 slots'],
 )
-def test_the_protocol_keeps_its_promises(bounds):
-    report = model.run(model.ModelOptions(bounds=bounds))
+def test_the_protocol_keeps_its_promises(bounds, observed):
+    report = model.run(model.ModelOptions(bounds=bounds, observed=observed))
     assert report.is_complete
     assert not report.violations
     assert report.states > 1000
