Keep the log term of each term's start and use it to find lost positions

Cause: a slot that was isolated in term 1 with 100 entries, missed term 2 and was promoted for term 3 has other entries at the offsets of term 2. With base offsets alone a token of term 2 looked present although its write was gone. Records also refused a base offset below the one before, which happens when the most advanced slot dies after its promotion; all daemons would then have refused the group's record. Ruled out: an entry written at each promotion, because the slots' protocol offers none.

--- a/celeryrelay/core/positions.py
+++ b/celeryrelay/core/positions.py
@@ -22,7 +22,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TermStart:
-    """The offset at which a term opened."""
+    """The log with which a term opened.
+
+    Attributes:
+        term: The term.
+        base_offset: Number of entries in the promoted slot's log.
+        log_term: Term of the last of them; 0 for an empty log.
+    """
 
     term: int
     base_offset: int
+    log_term: int = 0
--- a/celeryrelay/sessions/bounds.py
+++ b/celeryrelay/sessions/bounds.py
@@ -47,8 +47,8 @@
     """Return whether `position` survived the promotions in `history`.
 
     The history holds the starts of the last terms, in any order, and may lack
-    the current term while that is closed. The answer is right if each term
-    started from a prefix of the log of the term before it.
+    the current term while that is closed. A position may be reported as lost
+    although its entry still exists, never as present although it is gone.
     """
     if position.term > current_term:
         return Survival.ahead
@@ -58,12 +58,37 @@
     if not known_terms or position.term < min(known_terms):
         return Survival.lost
     lost = any(
-        start.base_offset < position.offset
+        position.offset > _surviving_offset(position, start, history)
         for start in history
         if start.term > position.term
     )
     return Survival.lost if lost else Survival.present
 
 
+def _surviving_offset(
+    position: positions.Position,
+    start: positions.TermStart,
+    history: abc.Sequence[positions.TermStart],
+) -> int:
+    """Return the offset up to which the log of `position` opened `start`.
+
+    A promoted slot whose last entry is of the position's term or a later one
+    holds that term's log up to its own end. Another slot has missed the term:
+    it may have entries of older terms at the same offsets, and has in common
+    with the position's log only what all the terms in between began with.
+    """
+    if start.log_term >= position.term:
+        return start.base_offset
+    oldest = start.log_term
+    while True:
+        between = [
+            other for other in history if oldest < other.term <= start.term
+        ]
+        reached = min(other.log_term for other in between)
+        if reached >= oldest:
+            return min(other.base_offset for other in between)
+        oldest = reached
+
+
 def _order(position: positions.Position) -> tuple[int, int]:
     return position.term, position.offset
--- a/celeryrelay/terms/failover.py
+++ b/celeryrelay/terms/failover.py
@@ -202,7 +202,12 @@
     def _open(self, event: messages.PromoteAnswered, now: float) -> None:
         self._enter('open', now)
         self._swap = swapping.RecordSwap(
-            records.reopen(self._record, event.slot, event.applied),
+            records.reopen(
+                self._record,
+                event.slot,
+                event.applied,
+                self._raises.log_term(event.slot),
+            ),
             self._revision,
         )
         self._follows = raising.FollowRound(
--- a/celeryrelay/terms/raising.py
+++ b/celeryrelay/terms/raising.py
@@ -118,6 +118,10 @@
         best = max(self._raised.values(), key=self._order)
         return best.slot
 
+    def log_term(self, slot: str) -> int:
+        """Return the term of the last log entry of a raised slot."""
+        return self._raised[slot].log_term
+
     def _order(
         self,
         answer: messages.RaiseAnswered,
--- a/celeryrelay/terms/records.py
+++ b/celeryrelay/terms/records.py
@@ -15,6 +15,8 @@
 
 _Term = typing.Annotated[int, pydantic.Field(ge=FIRST_TERM, strict=True)]
 _Offset = typing.Annotated[int, pydantic.Field(ge=0, strict=True)]
+# The first record is written by an operator, who may leave out the log's term.
+_Start = tuple[_Term, _Offset] | tuple[_Term, _Offset, _Offset]
 
 
 class TermState(enum.StrEnum):
@@ -51,7 +53,7 @@
     term: _Term
     primary: typing.Annotated[str, pydantic.Field(min_length=1)]
     state: TermState
-    history: list[tuple[_Term, _Offset]]
+    history: list[_Start]
 
 
 def parse(
@@ -90,7 +92,8 @@
         'primary': record.primary,
         'state': record.state.value,
         'history': [
-            [start.term, start.base_offset] for start in record.history
+            [start.term, start.base_offset, start.log_term]
+            for start in record.history
         ],
     }
 
@@ -115,15 +118,21 @@
     )
 
 
-def reopen(record: TermRecord, primary: str, base_offset: int) -> TermRecord:
+def reopen(
+    record: TermRecord,
+    primary: str,
+    base_offset: int,
+    log_term: int,
+) -> TermRecord:
     """Return the open record of a closed term.
 
     Args:
         record: The closed record.
         primary: Name of the promoted slot.
         base_offset: Offset of the promoted slot at its promotion.
+        log_term: Term of its last log entry then.
     """
-    start = positions.TermStart(record.term, base_offset)
+    start = positions.TermStart(record.term, base_offset, log_term)
     return dataclasses.replace(
         record,
         primary=primary,
@@ -169,8 +178,8 @@
     for earlier, later in zip(starts, starts[1:], strict=False):
         if later.term <= earlier.term:
             return 'terms have to increase'
-        if later.base_offset < earlier.base_offset:
-            return 'base offsets must not decrease'
+        if later.log_term >= later.term:
+            return 'a log must not be newer than the term that it opened'
     is_open = record.state is TermState.open
     if is_open and starts[-1].term != record.term:
         return 'the last entry has to be the open term'
