Refuse a request id inside of a transaction

Cause: a holder stores the request id with a write that commits by itself. In an open transaction, and with autocommit off, the id was taken and not kept, so a repeated transaction ran its writes again.

Ruled out: writes outside of transactions; retries on the same and on other entry instances, concurrent ones, after a lost answer and across a failover ran once.

Before: test_request_id_in_a_transaction_is_refused saw the write succeed.

--- a/celeryrelay/daemon/delivery.py
+++ b/celeryrelay/daemon/delivery.py
@@ -64,6 +64,11 @@
         """Return whether the statement can't change data."""
         return self.kind is kinds.Kind.read
 
+    @property
+    def needs_request_row(self) -> bool:
+        """Return whether its request id is stored together with a write."""
+        return self.kind is kinds.Kind.write and bool(self.caller_request)
+
     def message(self) -> messages.StatementRequest:
         """Return the message to a holder, without slot and time left."""
         return messages.StatementRequest(
@@ -140,7 +145,8 @@
         candidates = [
             slot
             for slot in group.slots
-            if slot.name != primary and not self._is_leaving(slot)
+            if slot.name != primary
+            and slot.address not in self._parts.fleet.leaving
         ]
         own_zone = self._parts.fleet.own.availability_zone
         near = [
@@ -218,9 +224,9 @@
         slot = statement.group.slot(name) if name else None
         if slot is None:
             yield refusals.unknown_primary()
-            return
-        async for part in self.on_slot(statement, request, slot):
-            yield part
+        else:
+            async for part in self.on_slot(statement, request, slot):
+                yield part
 
     async def on_slot(
         self,
@@ -257,6 +263,7 @@
             action=_ACTIONS.get(statement.kind, 'run'),
         )
         target = forwarding.Delivery(transaction.slot, request)
+        commits = statement.kind is kinds.Kind.commit
         async for part in self._attempt(
             statement,
             target,
@@ -265,7 +272,7 @@
             match part:
                 case peers.PeerFault() if statement.answered:
                     yield callers.CloseConnection(part.message)
-                case peers.PeerFault() if part.sent and _is_commit(statement):
+                case peers.PeerFault() if part.sent and commits:
                     yield refusals.connection_lost(part.message)
                 case peers.PeerFault():
                     # Without COMMIT the transaction is rolled back.
@@ -380,9 +387,6 @@
             return outcome
         return callers.CloseConnection('acknowledgement came too late')
 
-    def _is_leaving(self, slot: sets.Slot) -> bool:
-        return slot.address in self._parts.fleet.leaving
-
 
 _ACTIONS = {
     kinds.Kind.commit: 'commit',
@@ -390,10 +394,6 @@
 }
 
 
-def _is_commit(statement: Statement) -> bool:
-    return statement.kind is kinds.Kind.commit
-
-
 def _has_effect(request: messages.StatementRequest) -> bool:
     # A transaction that was opened without anybody knowing is rolled back.
     return request.write and request.action != 'begin'
--- a/celeryrelay/daemon/refusals.py
+++ b/celeryrelay/daemon/refusals.py
@@ -55,6 +55,15 @@
     )
 
 
+def request_in_transaction() -> outcomes.NotRun:
+    """Return the refusal of a request id inside of a transaction.
+
+    The id is stored with a statement that commits by itself; taken silently,
+    it would not keep a repeated transaction from running again.
+    """
+    return unsupported('a request id is not supported in a transaction')
+
+
 def unsupported_kind(found: kinds.Classification) -> outcomes.NotRun:
     """Return the refusal of a classified statement."""
     if found.kind is kinds.Kind.pinning:
--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -244,6 +244,10 @@
 
     async def _routed(self, statement: delivery.Statement) -> Parts:
         starts = self._wants_transaction or not self._autocommit
+        in_transaction = starts or self._transaction is not None
+        if in_transaction and statement.needs_request_row:
+            yield refusals.request_in_transaction()
+            return
         if self._transaction is None and starts:
             refusal = await self._open_transaction(statement)
             if refusal is not None:
