--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -363,6 +363,7 @@
                 raising_ms=split.raising,
                 promoting_ms=split.promoting,
                 opening_ms=split.opening,
+                lost_positions=finished.lost_positions,
             ),
         )
 
--- a/celeryrelay/terms/failover.py
+++ b/celeryrelay/terms/failover.py
@@ -258,6 +258,7 @@
                 record=self._record,
                 revision=self._revision,
                 unfollowed=self._follows.unfollowed,
+                lost_positions=self._raises.lost_positions(),
             ),
         )
 
--- a/celeryrelay/terms/messages.py
+++ b/celeryrelay/terms/messages.py
@@ -192,12 +192,15 @@
         record: The open record.
         revision: Its revision in the store.
         unfollowed: Slots that haven't answered that they follow.
+        lost_positions: Log positions of the old primary that the new one
+            doesn't have; None if that is not known.
     """
 
     split: Split
     record: records.TermRecord
     revision: int
     unfollowed: tuple[str, ...]
+    lost_positions: int | None
 
 
 class GiveUpReason(enum.StrEnum):
--- a/celeryrelay/terms/raising.py
+++ b/celeryrelay/terms/raising.py
@@ -118,6 +118,20 @@
         best = max(self._raised.values(), key=self._order)
         return best.slot
 
+    def lost_positions(self) -> int | None:
+        """Return how many positions of the old primary are lost.
+
+        None if the old primary was not raised: what it has committed since
+        the last position that it passed on is not known.
+        """
+        old = self._raised.get(self._old_primary)
+        if old is None:
+            return None
+        best = self._raised[self.most_advanced()]
+        if best.log_term != old.log_term:
+            return None
+        return max(old.applied - best.applied, 0)
+
     def _order(
         self,
         answer: messages.RaiseAnswered,
