Store the account at a planned stop even when the relays stop, too

Cause: the closing batch was sent to the relays of the zone and each relay stored one key before it ended. When all daemons of a zone stop at once, the relays end with batches of others, and the closing batches are lost. Ruled out: the store, which answered during the stop, and the merge, which counted every stored batch once. A stopping daemon also stores what is not confirmed, for up to 3 s; a batch that is stored twice counts once.

--- a/celeryrelay/accounting/outbox.py
+++ b/celeryrelay/accounting/outbox.py
@@ -59,6 +59,10 @@
         for sequence in confirmed:
             self._remove(sequence)
 
+    def waiting(self) -> tuple[batches.Batch, ...]:
+        """Return the batches that are not confirmed."""
+        return tuple(self._batches.values())
+
     def is_empty(self) -> bool:
         """Return whether every batch is confirmed or given up."""
         return not self._batches
--- a/celeryrelay/daemon/bookkeeping.py
+++ b/celeryrelay/daemon/bookkeeping.py
@@ -1,6 +1,7 @@
 """Delivery of account batches to relays and on to the store."""
 
 import asyncio
+import contextlib
 import random
 
 import orjson
@@ -16,6 +17,11 @@
 
 SEND_TIMEOUT_MS = 1000
 MAX_STEPS = 6
+# Longest time that a planned stop spends on the account. What is not stored
+# by then is left to the relays, and shows as a gap if they stop as well.
+CLOSE_SEND_S = 1
+CLOSE_STORE_S = 3
+CLOSE_RETRY_S = 0.05
 _MS_PER_S = 1000
 
 _LOG = logs.get('account')
@@ -60,10 +66,20 @@
         await self._store()
 
     async def close(self) -> None:
-        """Send the closing batch of a planned stop."""
+        """Send and store the closing batch of a planned stop.
+
+        The relays may be stopping as well, so this daemon also stores what is
+        not confirmed itself. A batch that is stored twice counts once.
+        """
         self.outbox.add(self._builder.close(self._clock.wall()))
-        await self._send_due()
-        await self._store()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_SEND_S):
+                await self._send_due()
+        for batch in self.outbox.waiting():
+            self._accept(batch)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_STORE_S):
+                await self._store_all()
 
     def on_batch(self, body: bytes) -> result.Result[bytes, str]:
         """Take a batch of an entry; answer which of its batches are stored."""
@@ -111,6 +127,12 @@
             return
         self.outbox.confirm(stored)
 
+    async def _store_all(self) -> None:
+        await self._store()
+        while any(book.pending_bytes for book in self._books.values()):
+            await asyncio.sleep(CLOSE_RETRY_S)
+            await self._store()
+
     async def _store(self) -> None:
         for book in self._books.values():
             command = book.begin()
