--- /dev/null
+++ b/tests/integration/test_account.py
@@ -0,0 +1,265 @@
+"""The account after failures, compared with callers and databases.
+
+Each caller stays at one entry instance, so that what callers saw at the
+instance that is killed can be told from the rest.
+"""
+
+import asyncio
+import collections
+import json
+import sys
+import time
+
+import aiomysql
+import pymysql
+import pytest
+
+from celeryrelay.accounting import reports
+from standins.deployment import cluster, processes, shapes
+from tests.integration import workload
+
+GROUP = 'group-1'
+RANKS = ('bookings', 'checks', 'reports')
+SHAPE = shapes.Shape(
+    groups=(GROUP,),
+    entries_per_zone=2,
+    init_sql=workload.INIT_SQL,
+)
+# A caller may have its answer a little before or after the entry counts it.
+ANSWER_MARGIN_MS = 100
+CTL = 'from celeryrelay.management.commands import ctl; ctl.run()'
+
+
+class Caller:
+    """A caller of one rank at one entry instance that counts its answers."""
+
+    def __init__(self, entry, rank, number):
+        self.entry = entry
+        self.rank = rank
+        self.name = f'{rank}-{entry.program.name}-{number}'
+        self.seen = collections.Counter()
+        self.served_at_ms = []
+        self.acknowledged = []
+        self.refused = []
+        self._connection = None
+
+    async def call_until(self, stop):
+        number = 0
+        while not stop.is_set() and self.entry.program.running:
+            number += 1
+            await self._call(number)
+            await asyncio.sleep(0.02)
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _call(self, number):
+        key = f'{self.name}-{number}'
+        # Checks read and write by turns; reports read only.
+        writes = self.rank == 'bookings' or self.rank == 'checks' and number % 2
+        sql = 'SELECT COUNT(*) FROM bookings'
+        if writes:
+            sql = f"INSERT INTO bookings VALUES ('{key}', {number})"
+        try:
+            await self._connect()
+        except (OSError, asyncio.TimeoutError, pymysql.MySQLError):
+            return
+        outcome = await self._execute(sql)
+        self.seen[outcome] += 1
+        if outcome == 'served':
+            self.served_at_ms.append(time.time() * 1000)
+        if writes and outcome == 'served':
+            self.acknowledged.append(key)
+        if writes and outcome == 'refused':
+            self.refused.append(key)
+
+    async def _execute(self, sql):
+        try:
+            async with self._connection.cursor() as cursor:
+                await asyncio.wait_for(
+                    cursor.execute(sql),
+                    workload.STATEMENT_TIMEOUT_S,
+                )
+                await cursor.fetchall()
+            return 'served'
+        except pymysql.MySQLError as error:
+            code = error.args[0] if error.args else 0
+            if code == workload.NOT_RUN:
+                return 'refused'
+            if code == workload.UNKNOWN:
+                return 'unknown'
+            if code and not 2000 <= code < 3000:
+                return 'failed'
+        except (OSError, asyncio.TimeoutError):
+            """Handled like a connection that the entry closed."""
+        self._connection.close()
+        self._connection = None
+        # A connection that ends before the answer tells the caller nothing.
+        return 'unknown'
+
+    async def _connect(self):
+        if self._connection is None:
+            self._connection = await aiomysql.connect(
+                host=shapes.HOST,
+                port=self.entry.mysql_port,
+                user=shapes.user_name(GROUP, self.rank),
+                autocommit=None,
+                connect_timeout=3,
+            )
+
+
+@pytest.fixture
+async def deployment():
+    async with cluster.Cluster(SHAPE) as started:
+        await started.wait_healthy()
+        yield started
+
+
+def make_callers(deployment):
+    return [
+        Caller(entry, rank, number)
+        for entry in deployment.entries
+        for rank in RANKS
+        for number in range(2 if rank == 'bookings' else 1)
+    ]
+
+
+async def account_values(deployment):
+    found = await deployment.platform.get('/v1/range?prefix=accounts/&since=0')
+    return [entry['value'] for entry in found['entries']]
+
+
+async def account_command(deployment):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-c',
+        CTL,
+        'account',
+        '--json',
+        f'--platform_url={deployment.platform.url}',
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    assert process.returncode == 0
+    return json.loads(output)
+
+
+async def stop_all(deployment):
+    """Stop all daemons at once and return their exit codes."""
+    running = [one for one in deployment.entries if one.program.running]
+    return await processes.run_together(one.program.stop() for one in running)
+
+
+def count(callers, rank):
+    return sum(
+        (caller.seen for caller in callers if caller.rank == rank),
+        collections.Counter(),
+    )
+
+
+def counted(report, rank):
+    total = report.totals('rank')[(rank,)]
+    return collections.Counter(
+        served=total.served,
+        failed=total.failed,
+        refused=sum(total.refused.values()),
+        unknown=sum(total.unknown.values()),
+    )
+
+
+def check_rank(report, rank, callers, killed, last_sent_ms):
+    """Compare the account of a rank with what its callers saw.
+
+    The account may differ only by what the killed instance counted after its
+    last batch, which the report declares.
+    """
+    survivors = count([one for one in callers if one.entry != killed], rank)
+    at_killed = [
+        caller
+        for caller in callers
+        if caller.entry == killed and caller.rank == rank
+    ]
+    extra = counted(report, rank) - survivors
+    assert not survivors - counted(report, rank), f'{rank}: not counted'
+    most = count(at_killed, rank).total()
+    assert extra.total() <= most, f'{rank}: counted twice'
+    due = sum(
+        at_ms < last_sent_ms - ANSWER_MARGIN_MS
+        for caller in at_killed
+        for at_ms in caller.served_at_ms
+    )
+    assert extra['served'] >= due, f'{rank}: lost although it was sent'
+
+
+async def check_stored(deployment, callers):
+    stored = await workload.stored_bookings(deployment)
+    assert set(stored.values()) == {1}
+    for caller in callers:
+        assert not [key for key in caller.refused if key in stored]
+        if caller.rank == 'bookings':
+            missing = [key for key in caller.acknowledged if key not in stored]
+            assert not missing, missing[:5]
+
+
+async def test_account_agrees_after_failures_and_a_planned_stop(deployment):
+    """Guards against statements that are lost or counted twice.
+
+    A primary and an entry instance are killed, and the store is down for a
+    while and loses answers to writes of the account.
+    """
+    callers = make_callers(deployment)
+    killed = deployment.entries[0]
+    stop = asyncio.Event()
+    tasks = [asyncio.create_task(one.call_until(stop)) for one in callers]
+    await asyncio.sleep(2.5)
+    await deployment.slots[GROUP, 'slot-0'].program.kill()
+    await workload.wait_for_term(deployment, 2)
+    await asyncio.sleep(1)
+    await killed.program.kill()
+    await deployment.register()
+    await asyncio.sleep(2)
+    await deployment.platform.set_faults(down=True)
+    await asyncio.sleep(3)
+    await deployment.platform.set_faults(down=False, lose_answers=True)
+    await asyncio.sleep(2)
+    await deployment.platform.set_faults(lose_answers=False)
+    await asyncio.sleep(0.5)
+    stop.set()
+    await asyncio.gather(*tasks)
+    assert set(await stop_all(deployment)) == {0}
+
+    report = reports.build(await account_values(deployment))
+    assert not report.unreadable
+    gaps = [source for source in report.sources if not source.complete]
+    assert len(report.sources) == len(deployment.entries)
+    assert [one.source.split('/')[0] for one in gaps] == [killed.address]
+    assert not (gaps[0].missing or gaps[0].repeated or gaps[0].missing_parts)
+    for rank in RANKS:
+        check_rank(report, rank, callers, killed, gaps[0].last_sent_ms)
+    assert [one.term for one in report.failovers] == [2]
+    await check_stored(deployment, callers)
+    printed = await account_command(deployment)
+    assert printed.pop('result') == 'ok'
+    assert printed == json.loads(reports.to_json(report))
+
+
+async def test_planned_stop_of_a_whole_zone_stores_all_batches(deployment):
+    """Guards against batches that are left with relays that stop, too.
+
+    The store is down until shortly before the stop, so that several periods
+    wait to be stored.
+    """
+    callers = make_callers(deployment)
+    stop = asyncio.Event()
+    tasks = [asyncio.create_task(one.call_until(stop)) for one in callers]
+    await asyncio.sleep(1)
+    await deployment.platform.set_faults(down=True)
+    await asyncio.sleep(21)
+    stop.set()
+    await asyncio.gather(*tasks)
+    await deployment.platform.set_faults(down=False)
+    assert set(await stop_all(deployment)) == {0}
+    report = reports.build(await account_values(deployment))
+    assert report.complete, report.sources
+    for rank in RANKS:
+        assert counted(report, rank) == count(callers, rank)
+    await check_stored(deployment, callers)
