Count refusals that the entry itself decides on

Cause: statements refused as unsupported, for their session token or because the instance is stopping were answered before anything was counted. Before: a session with two 1235 and one 9204 refusals left no trace of them in the account. After: test_refusals_by_the_entry_itself_are_counted finds each once. A refusal without a known route, as for an unknown user, can't be counted by group and still is not. A planned stop also waits up to 1 s for closed sessions, so that their last statement is counted before the closing batch.

--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -46,6 +46,8 @@
 
 RECONCILE_S = 0.05
 FLUSH_S = 0.2
+# Sessions count their last statement before the account is closed.
+CLOSE_CALLERS_S = 1
 _MS_PER_S = 1000
 
 _LOG = logs.get('daemon')
@@ -373,6 +375,9 @@
         while self._clock.monotonic() < deadline and self._is_busy():
             await asyncio.sleep(RECONCILE_S)
         self._callers.close_all()
+        deadline = self._clock.monotonic() + CLOSE_CALLERS_S
+        while self._clock.monotonic() < deadline and self._callers.connections:
+            await asyncio.sleep(RECONCILE_S)
         self._stopped.set()
 
     def _is_busy(self) -> bool:
--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -76,13 +76,11 @@
     ) -> Parts:
         """Run a statement and yield the parts of its answer."""
         found = self._parts.preparer.classify(sql)
-        if self._fleet.draining and not self.in_transaction:
-            self.finished = True
-            yield self._named(refusals.draining())
-            return
-        local = self._local(found)
-        if local is not None:
-            yield self._named(local)
+        is_draining = self._fleet.draining and not self.in_transaction
+        self.finished = self.finished or is_draining
+        local = refusals.draining() if is_draining else self._local(found)
+        if isinstance(local, outcomes.Done):
+            yield local
             return
         statement = self._parts.preparer.prepare(
             sql,
@@ -90,6 +88,9 @@
             self._login,
             attributes,
         )
+        if local is not None:
+            yield self._refused(statement, local)
+            return
         if isinstance(statement, outcomes.NotRun):
             yield self._named(statement)
             return
@@ -104,7 +105,7 @@
         token = attributes.get(preparation.TOKEN_ATTRIBUTE)
         refusal = self._take_token(token, statement.group.name)
         if refusal is not None:
-            yield self._named(refusal)
+            yield self._refused(statement, refusal)
         elif statement.kind is kinds.Kind.select_token:
             for row_part in self._token_rows(statement.group.name):
                 yield row_part
@@ -112,6 +113,22 @@
             async for part in self._recorded(statement):
                 yield part
 
+    def _refused(
+        self,
+        statement: delivery.Statement | outcomes.NotRun,
+        refusal: outcomes.NotRun,
+    ) -> outcomes.Outcome:
+        """Count a refusal by the entry itself, if its route is known."""
+        if isinstance(statement, outcomes.NotRun):
+            return self._named(refusal)
+        self._parts.recorder.ended(
+            statement.request,
+            statement.route,
+            refusal,
+            is_read=statement.is_read,
+        )
+        return refusals.named(refusal, statement.request)
+
     def _named(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
         return refusals.named(outcome, self._parts.preparer.next_request())
 
--- a/tests/integration/test_account.py
+++ b/tests/integration/test_account.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import json
 import sys
 import time
@@ -123,6 +124,14 @@
     ]
 
 
+@pytest.fixture
+async def small_deployment():
+    shape = dataclasses.replace(SHAPE, zones=('zone-1',), entries_per_zone=1)
+    async with cluster.Cluster(shape) as started:
+        await started.wait_healthy()
+        yield started
+
+
 async def account_values(deployment):
     found = await deployment.platform.get('/v1/range?prefix=accounts/&since=0')
     return [entry['value'] for entry in found['entries']]
@@ -263,3 +272,35 @@
     for rank in RANKS:
         assert counted(report, rank) == count(callers, rank)
     await check_stored(deployment, callers)
+
+
+async def test_refusals_by_the_entry_itself_are_counted(small_deployment):
+    """Guards against refusals that leave no record in the account."""
+    (entry,) = small_deployment.entries
+    caller = Caller(entry, 'checks', 0)
+    await caller._connect()
+    expected = [
+        ('LOCK TABLES bookings READ', 1235),
+        ("SET @@celeryrelay_token = 'forged'", 0),
+        ('SELECT COUNT(*) FROM bookings', 9204),
+        ('SELECT COUNT(*) FROM bookings', 0),
+    ]
+    for sql, code in expected:
+        assert await error_code(caller, sql) == code
+    await entry.peer.post('/admin/drain')
+    assert await error_code(caller, 'SELECT COUNT(*) FROM bookings') == 9201
+    assert await entry.program.stop() == 0
+    report = reports.build(await account_values(small_deployment))
+    assert report.complete
+    total = report.totals('rank')[('checks',)]
+    assert total.refused == {'unsupported': 1, 'bad_token': 1, 'draining': 1}
+    assert total.served == 1
+
+
+async def error_code(caller, sql):
+    try:
+        async with caller._connection.cursor() as cursor:
+            await cursor.execute(sql)
+    except pymysql.MySQLError as error:
+        return error.args[0]
+    return 0
