End a replaced follower of the stand-in database

Cause: asyncio.wait_for of Python 3.11 returns a result that arrives together with a cancellation, so a follower that was replaced went on, and two followers applied the same entries. Ruled out: a booking sent twice by a daemon; the logs of the slots differ in length without any daemon in the new test. Conclusion: a follower checks that it is the present one after each wait.

--- a/standins/database/replication.py
+++ b/standins/database/replication.py
@@ -75,8 +75,17 @@
             self._task.cancel()
             self._task = None
 
+    @property
+    def _is_current(self) -> bool:
+        """Return whether the running task was neither ended nor replaced.
+
+        `asyncio.wait_for` of Python 3.11 returns a result that arrives at the
+        same time as a cancellation, and the task goes on.
+        """
+        return asyncio.current_task() is self._task
+
     async def _run(self, source: Source) -> None:
-        while True:
+        while self._is_current:
             with contextlib.suppress(*_FAILURES):
                 await self._follow_once(source)
             await asyncio.sleep(RETRY_S)
@@ -93,7 +102,7 @@
         )
         try:
             await self._drop_diverged(connection, source)
-            while True:
+            while self._is_current:
                 await self._fetch(connection, source)
         finally:
             connection.close()
@@ -104,6 +113,8 @@
         source: Source,
     ) -> None:
         ends = await _call(connection, f'CALL group_term_ends({source.term})')
+        if not self._is_current:
+            return
         self._slot.truncate(
             matching_offset(self._slot.log, [(row[0], row[1]) for row in ends]),
         )
@@ -126,6 +137,8 @@
                 received_at - age_ms / MILLISECONDS,
             )
             await self._wait_lag(entry)
+            if not self._is_current:
+                return
             self._slot.replicate(entry)
 
     async def _wait_lag(self, entry: slot_state.Entry) -> None:
--- a/tests/standins/test_database.py
+++ b/tests/standins/test_database.py
@@ -228,3 +228,27 @@
         await writer.run(sql)
     await wait_applied(replica, 1, 1)
     assert await replica.run(NAMES) == [('a',)]
+
+
+async def test_replaced_follower_applies_nothing(start_slot, connect):
+    """Guards against entries that two followers apply, each once."""
+    port = await start_slot('a')
+    replica_port = await start_slot('b', '--role=replica', '--lag_ms=2')
+    writer = await connect(port, term=1)
+    replica = await connect(replica_port)
+    stop = asyncio.Event()
+
+    async def write():
+        while not stop.is_set():
+            await writer.run('INSERT INTO items (body) VALUES (NULL)')
+
+    writing = asyncio.create_task(write())
+    for _ in range(400):
+        await follow(replica, 1, port)
+        await asyncio.sleep(0.005)
+    stop.set()
+    await writing
+    await asyncio.sleep(1.5)
+    (primary_status,) = await writer.run('CALL group_status()')
+    (replica_status,) = await replica.run('CALL group_status()')
+    assert replica_status[1:] == (1, 'replica', *primary_status[3:])
