--- /dev/null
+++ b/standins/deployment/bookings.py
@@ -0,0 +1,136 @@
+"""Steady booking load for experiments."""
+
+import asyncio
+import dataclasses
+import random
+import secrets
+import time
+import types
+import typing
+
+from celeryrelay.load import callers, plans, tallies
+from standins.deployment import cluster, shapes
+
+PAUSE_S = 0.05
+RUN_ID_BYTES = 4
+MS_PER_S = 1000
+MEDIAN = 0.5
+P99 = 0.99
+
+_INSERT = 'INSERT INTO bookings (id, place, made_at) VALUES (%s, 1, %s)'
+
+
+@dataclasses.dataclass(slots=True)
+class Latencies:
+    """Latencies in milliseconds."""
+
+    values_ms: list[float] = dataclasses.field(default_factory=list)
+
+    def add(self, started_at: float) -> None:
+        """Add the time since the monotonic time `started_at`."""
+        self.values_ms.append((time.monotonic() - started_at) * MS_PER_S)
+
+    def summary(self) -> dict[str, float]:
+        """Return the count, median, 99th percentile and highest value."""
+        return summarise(self.values_ms)
+
+
+class Load:
+    """Context manager that keeps callers of one group and rank booking.
+
+    Attributes:
+        tally: Keys by result, and the times at which bookings were served.
+        latencies: Latencies of served bookings.
+    """
+
+    def __init__(
+        self,
+        deployment: cluster.Cluster,
+        group: str,
+        rank: plans.Rank = plans.Rank.bookings,
+        count: int = 6,
+        pause_s: float = PAUSE_S,
+    ) -> None:
+        """Prepare `count` callers that pause between bookings."""
+        self.tally = tallies.GroupTally()
+        self.latencies = Latencies()
+        self._plan = make_plan(deployment, group)
+        self._user = shapes.user_name(group, rank)
+        self._count = count
+        self._pause_s = pause_s
+        self._prefix = secrets.token_hex(RUN_ID_BYTES)
+        self._number = 0
+        self._stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> typing.Self:
+        """Start the callers."""
+        self._tasks = [
+            asyncio.create_task(self._book(number))
+            for number in range(self._count)
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Let each caller end its statement."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+
+    @property
+    def keys(self) -> list[str]:
+        """Return the keys of all bookings that have ended."""
+        return [key for keys in self.tally.keys.values() for key in keys]
+
+    async def _book(self, first_target: int) -> None:
+        caller = callers.Caller(self._plan, self._user, first_target)
+        generator = random.Random(first_target)  # noqa: S311
+        while not self._stopping:
+            self._number += 1
+            key = f'{self._prefix}-{self._number}'
+            started_at = time.monotonic()
+            answer = await caller.run(_INSERT, (key, int(time.time())))
+            self.tally.keys[answer.result].append(key)
+            if answer.result is tallies.Result.served:
+                self.tally.served_at.append(time.monotonic())
+                self.latencies.add(started_at)
+            await asyncio.sleep(self._pause_s * generator.uniform(0.5, 1.5))
+        caller.close()
+
+
+def make_plan(deployment: cluster.Cluster, group: str) -> plans.Plan:
+    """Return the addresses and timeouts for callers of a group."""
+    return plans.Plan(
+        targets=tuple(
+            plans.Address(shapes.HOST, entry.mysql_port)
+            for entry in deployment.entries
+        ),
+        groups=(group,),
+        rates={},
+        status=tuple(
+            plans.parse_address(entry.peer.address)
+            for entry in deployment.entries
+        ),
+        fleet_key=deployment.fleet_key,
+    )
+
+
+def summarise(values_ms: list[float]) -> dict[str, float]:
+    """Return the count, median, 99th percentile and highest value."""
+    if not values_ms:
+        return {'count': 0}
+    ordered = sorted(values_ms)
+    return {
+        'count': len(ordered),
+        'p50_ms': round(_percentile(ordered, MEDIAN), 1),
+        'p99_ms': round(_percentile(ordered, P99), 1),
+        'max_ms': round(ordered[-1], 1),
+    }
+
+
+def _percentile(ordered: list[float], share: float) -> float:
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -139,6 +139,18 @@
         await self.register()
         return entry
 
+    async def restart_slot(self, group: str, name: str) -> None:
+        """Start an ended slot again, empty and following nobody yet."""
+        old = self.slots[group, name]
+        program = await self._programs.start(
+            old.program.name,
+            'standins.database.command',
+            f'--port={old.port}',
+            '--role=replica',
+            *self._slot_flags(group, name),
+        )
+        self.slots[group, name] = dataclasses.replace(old, program=program)
+
     async def register(self) -> None:
         """Set the platform's list to the running processes."""
         databases = [
@@ -235,16 +247,11 @@
 
     async def _start_slot(self, group: str, number: int) -> Slot:
         name = _slot_name(number)
-        init_path = self.directory / 'init.sql'
         program = await self._programs.start(
             f'{group}-{name}',
             'standins.database.command',
-            f'--group={group}',
-            f'--slot={name}',
             '--role={0}'.format('replica' if number else 'primary'),
-            f'--connection_limit={self.shape.connection_limit}',
-            f'--init_sql_file={init_path}',
-            *self.shape.slot_flags,
+            *self._slot_flags(group, name),
         )
         port = program.listening['mysql']
         link = port
@@ -254,6 +261,16 @@
         address = shapes.SlotAddress(group, name, zone, link)
         return Slot(address, program, port)
 
+    def _slot_flags(self, group: str, name: str) -> tuple[str, ...]:
+        init_path = self.directory / 'init.sql'
+        return (
+            f'--group={group}',
+            f'--slot={name}',
+            f'--connection_limit={self.shape.connection_limit}',
+            f'--init_sql_file={init_path}',
+            *self.shape.slot_flags,
+        )
+
     async def _publish(self) -> None:
         self.objects = shapes.build_objects(
             self.shape,
