Count the detection of a failover from the first failed probe

Cause: the account field held the time since the evidence sufficed, 1 ms in a run in which probes had failed for 550 ms; the record says it counts from the first failed probe.

--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -115,10 +115,34 @@
         if (now - since) * _MS_PER_S < chosen.index(own) * stagger_ms:
             return
         self._due_since.pop((group.name, record.term))
-        run = FailoverRun(self._parts, group, record, since)
+        run = FailoverRun(
+            self._parts,
+            group,
+            record,
+            since,
+            self._failing_since(group, record, now),
+        )
         task = asyncio.create_task(self._carry_out(run))
         self._running[group.name] = task
 
+    def _failing_since(
+        self,
+        group: sets.DatabaseGroup,
+        record: records.TermRecord,
+        now: float,
+    ) -> float:
+        """Return when an observer's first failed probe of the primary was."""
+        summaries = self._parts.evidence.summaries(
+            group.name,
+            record.primary,
+            now,
+        )
+        failing_ms = max(
+            (one.span_ms + one.age_ms for one in summaries if one.failures),
+            default=0,
+        )
+        return now - failing_ms / _MS_PER_S
+
     async def _carry_out(self, run: 'FailoverRun') -> None:
         try:
             self.completed += await run.run()
@@ -135,12 +159,14 @@
         group: sets.DatabaseGroup,
         record: records.TermRecord,
         since: float,
+        failing_since: float,
     ) -> None:
         """Prepare the failover of `group` from `record`."""
         self.group = group
         self._parts = parts
         self._record = record
         self._since = since
+        self._failing_since = failing_since
         self._seen_revision = 0
         self._machine = failover.Failover(
             parts.settings.terms,
@@ -334,7 +360,8 @@
         if parts.fleet.stamp is not None:
             parts.fleet.take_terms([entry], parts.fleet.stamp)
         split = finished.split
-        detection_ms = (parts.clock.monotonic() - self._since) * _MS_PER_S
+        elapsed_s = parts.clock.monotonic() - self._failing_since
+        detection_ms = elapsed_s * _MS_PER_S
         detection_ms -= split.closing + split.waiting
         detection_ms -= split.promoting + split.opening
         self._emit(
--- a/tests/integration/test_account.py
+++ b/tests/integration/test_account.py
@@ -244,7 +244,10 @@
     assert not (gaps[0].missing or gaps[0].repeated or gaps[0].missing_parts)
     for rank in RANKS:
         check_rank(report, rank, callers, killed, gaps[0].last_sent_ms)
-    assert [one.term for one in report.failovers] == [2]
+    (failover,) = report.failovers
+    assert failover.term == 2
+    # Probes have to fail for 600 ms before a primary may be replaced.
+    assert 600 <= failover.detection_ms < 6000
     await check_stored(deployment, callers)
     printed = await account_command(deployment)
     assert printed.pop('result') == 'ok'
