Write the first term record of a published group

Cause: nothing wrote the record of a new group, so operators had to put it into the store by hand. The first promoter asks the slots and writes the record if exactly one is primary and the key is absent. The test fails without the task (timeout) and passes with it.

--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -27,6 +27,7 @@
     delivery,
     distribution,
     entry,
+    establishment,
     evidence,
     fleet,
     forwarding,
@@ -263,6 +264,14 @@
                 clock=self._clock,
             ),
         )
+        self._establishment = establishment.Establishment(
+            establishment.EstablishmentParts(
+                fleet=self.fleet,
+                holders=self._holders,
+                platform=store,
+                events=self._events,
+            ),
+        )
         self._books = bookkeeping.Bookkeeping(
             builder,
             self.fleet,
@@ -341,6 +350,7 @@
             self._distribution.run(self._settings.control),
             self._observer.run(),
             self._promoter.run(),
+            self._establishment.run(),
             self._books.run(self._settings.account),
             self._feed.run(),
             self._reconcile_loop(),
--- a/tests/integration/workload.py
+++ b/tests/integration/workload.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+import aiohttp
 import aiomysql
 import pymysql
 
@@ -158,9 +159,10 @@
     """Wait until the store shows an open term of at least `term`."""
     async with asyncio.timeout(timeout_s):
         while True:
-            found = await record(deployment, group)
-            if found['term'] >= term and found['state'] == 'open':
-                return found
+            with contextlib.suppress(aiohttp.ClientResponseError):
+                found = await record(deployment, group)
+                if found['term'] >= term and found['state'] == 'open':
+                    return found
             await asyncio.sleep(0.05)
 
 
