--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -132,11 +132,8 @@
         now: float,
     ) -> float:
         """Return when an observer's first failed probe of the primary was."""
-        summaries = self._parts.evidence.summaries(
-            group.name,
-            record.primary,
-            now,
-        )
+        found = self._parts.evidence
+        summaries = found.summaries(group.name, record.primary, now)
         failing_ms = max(
             (one.span_ms + one.age_ms for one in summaries if one.failures),
             default=0,
