Prefer a slot that stays when a leaving primary is replaced

Cause: a promotion broke ties between equally advanced slots by the old primary only, so a planned promotion could take another leaving slot, or be repeated until a tie fell differently.

Ruled out: the choice of the most advanced slot, which stays first: a leaving slot with a later position is still promoted, because a write could be lost otherwise.

Before: test_planned_stop.py saw a new term with a leaving primary. Conclusion: among equals a slot that stays is taken. The stand-in counts statements of clients (standin_statements).

--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -145,6 +145,11 @@
         self._machine = failover.Failover(
             parts.settings.terms,
             [slot.name for slot in group.slots],
+            leaving=frozenset(
+                slot.name
+                for slot in group.slots
+                if slot.address in parts.fleet.leaving
+            ),
         )
         self._inbox: asyncio.Queue[commands.Event] = asyncio.Queue()
         self._tasks: set[asyncio.Task[None]] = set()
--- a/celeryrelay/terms/failover.py
+++ b/celeryrelay/terms/failover.py
@@ -60,6 +60,7 @@
         config: settings.TermSettings,
         slots: abc.Sequence[str],
         deadline_ms: float = DEADLINE_MS,
+        leaving: abc.Container[str] = (),
     ) -> None:
         """Wait for the start event.
 
@@ -67,9 +68,12 @@
             config: Timing of terms.
             slots: Names of all slots of the group.
             deadline_ms: Time after the start at which to give up.
+            leaving: Names of the slots that are leaving; another one is
+                promoted if it is as advanced.
         """
         self._settings = config
         self._slots = tuple(slots)
+        self._leaving = leaving
         self._deadline_s = deadline_ms / MS_PER_S
         self._commands: list[messages.Command] = []
         self._entered_at: dict[Phase, float] = {}
@@ -184,7 +188,7 @@
         if self._raises.is_complete(self._settings, now):
             self._enter('promote', now)
             self._promotion = raising.Promotion(
-                self._raises.most_advanced(),
+                self._raises.most_advanced(self._leaving),
                 self._record.term,
             )
             self._commands = [self._promotion.command()]
--- a/celeryrelay/terms/raising.py
+++ b/celeryrelay/terms/raising.py
@@ -109,22 +109,23 @@
             config
         ) and now >= self.quorum_at + guard.confirm_wait_s(config)
 
-    def most_advanced(self) -> str:
+    def most_advanced(self, leaving: abc.Container[str]) -> str:
         """Return the raised slot with the highest log position.
 
-        Among equals a slot other than the old primary is taken, because that
-        one failed its probes.
+        Among equals a slot that stays is taken, and then one other than the
+        old primary, because that one failed its probes.
         """
-        best = max(self._raised.values(), key=self._order)
+        best = max(
+            self._raised.values(),
+            key=lambda answer: (
+                answer.log_term,
+                answer.applied,
+                answer.slot not in leaving,
+                answer.slot != self._old_primary,
+            ),
+        )
         return best.slot
 
-    def _order(
-        self,
-        answer: messages.RaiseAnswered,
-    ) -> tuple[int, int, bool]:
-        is_other = answer.slot != self._old_primary
-        return answer.log_term, answer.applied, is_other
-
     def _mark_quorum(self, now: float) -> None:
         if self.quorum_at is None and len(self._raised) >= self._quorum:
             self.quorum_at = now
--- a/standins/database/procedures.py
+++ b/standins/database/procedures.py
@@ -31,6 +31,7 @@
             'group_term_ends': self._term_ends,
             'standin_set': self._set,
             'standin_dump_log': self._dump_log,
+            'standin_statements': self._statements,
         }
 
     async def call(self, sql: str) -> Table:
@@ -129,5 +130,8 @@
         ]
         return ('term', 'offset', 'sql'), rows
 
+    def _statements(self) -> Table:
+        return ('statements',), [(self._slot.statements,)]
+
     def _position(self) -> Table:
         return ('term', 'applied'), [(self._slot.term, len(self._slot.log))]
--- a/standins/database/slot.py
+++ b/standins/database/slot.py
@@ -81,6 +81,7 @@
         role: Its role in that term.
         log: Applied entries; the offset of a position is their number.
         changed: Signal of changes of log, term and role.
+        statements: Number of queries and writes of clients.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         self._lock = asyncio.Lock()
         self._writer: Transaction | None = None
         self.changed = Signal()
+        self.statements = 0
 
     @property
     def log_term(self) -> int:
--- a/standins/database/work.py
+++ b/standins/database/work.py
@@ -114,6 +114,7 @@
 
     async def read(self, text: str, locks_rows: bool) -> sqlite3.Cursor:
         """Run a query; row locks make it wait for the write transaction."""
+        self._slot.statements += 1
         transaction = self._open_if_needed()
         if locks_rows and transaction is not None:
             await self._prepare_write(transaction)
@@ -126,6 +127,7 @@
 
     async def write(self, text: str) -> None:
         """Run a statement that changes data."""
+        self._slot.statements += 1
         opened = self._open_if_needed()
         if opened is not None:
             await self._write_in(opened, text)
