--- a/celeryrelay/daemon/holders.py
+++ b/celeryrelay/daemon/holders.py
@@ -46,6 +46,7 @@
         self._confirming: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
+        self.holder.parts.probe.on_failure = self.holder.parts.pool.suspect
         self._tasks.append(asyncio.create_task(self.holder.parts.probe.run()))
         self._tasks.append(asyncio.create_task(self._maintain()))
 
--- a/celeryrelay/daemon/pool.py
+++ b/celeryrelay/daemon/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import result
 
@@ -83,6 +84,16 @@
             self._idle.append(connection)
         else:
             connection.abort()
+            self.suspect()
+
+    def suspect(self) -> None:
+        """Have all idle connections checked before their next use.
+
+        When one connection to the server went silent, something between the
+        two ends may have lost track of the others as well.
+        """
+        for connection in self._idle:
+            connection.last_used = -math.inf
 
     async def maintain(self) -> None:
         """Check idle connections and keep some open, off the urgent path."""
--- a/celeryrelay/daemon/probes.py
+++ b/celeryrelay/daemon/probes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections import abc
 
 import result
 
@@ -38,6 +39,7 @@
         address: How to connect to the slot.
         status: Newest known status; reads refresh it as well.
         is_primary: Whether the slot is its group's primary.
+        on_failure: Called after each failed probe.
         history: Answered and failed probes.
     """
 
@@ -52,6 +54,7 @@
         self.address = address
         self.status: SlotStatus | None = None
         self.is_primary = True
+        self.on_failure: abc.Callable[[], None] | None = None
         self.history = detection.ProbeHistory(
             own.availability_zone,
             own.instance,
@@ -68,6 +71,8 @@
                 started = self._clock.monotonic()
                 answered = await self.probe()
                 self.history.on_probe(answered, self._clock.monotonic())
+                if not answered and self.on_failure is not None:
+                    self.on_failure()
                 spent = self._clock.monotonic() - started
                 await asyncio.sleep(max(interval_s - spent, 0))
         finally:
--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -1,6 +1,7 @@
 """One caller connection: its state and the way of its statements."""
 
 import dataclasses
+import re
 from collections import abc
 
 import result
@@ -19,6 +20,12 @@
 from celeryrelay.sessions import bounds, tokens
 
 TEXT_TYPE = 253
+# Client libraries set the character set that all connections have anyway.
+NEUTRAL_SETTING = re.compile(
+    r"\s*SET\s+(NAMES|CHARACTER\s+SET|CHARSET)\s+'?utf8(mb[34])?'?"
+    r"(\s+COLLATE\s+'?utf8(mb[34])?_\w+'?)?\s*;?\s*",
+    re.IGNORECASE,
+)
 
 Parts = delivery.Parts
 
@@ -83,7 +90,7 @@
         found = self._parts.preparer.classify(sql)
         is_draining = self._fleet.draining and not self.in_transaction
         self.finished = self.finished or is_draining
-        local = refusals.draining() if is_draining else self._local(found)
+        local = refusals.draining() if is_draining else self._local(sql, found)
         if isinstance(local, outcomes.Done):
             yield local
             return
@@ -139,18 +146,30 @@
 
     def _local(
         self,
+        sql: str,
         found: kinds.Classification,
     ) -> outcomes.Done | outcomes.NotRun | None:
         """Handle a statement that needs no backend server."""
         match found.kind:
             case kinds.Kind.unsupported | kinds.Kind.pinning:
                 return refusals.unsupported_kind(found)
+            case kinds.Kind.set_session if not NEUTRAL_SETTING.fullmatch(sql):
+                return refusals.unsupported(
+                    'session variables are not supported: connections are '
+                    'shared between callers',
+                )
             case kinds.Kind.set_session:
                 return self._done()
             case kinds.Kind.set_token:
                 self._pending_token = found.token or ''
                 return self._done()
-            case kinds.Kind.use:
+            case _ if found.reads_connection_state and not self.in_transaction:
+                # The statement before may have run on another connection.
+                return refusals.unsupported(
+                    'LAST_INSERT_ID() and the like need a transaction; the '
+                    'key of an INSERT is in its own answer',
+                )
+            case kinds.Kind.use if not self.in_transaction:
                 self._login = dataclasses.replace(
                     self._login,
                     schema=found.schema,
@@ -163,6 +182,10 @@
         self,
         found: kinds.Classification,
     ) -> outcomes.Done | outcomes.NotRun | None:
+        if self.in_transaction and found.kind is kinds.Kind.use:
+            return refusals.unsupported(
+                'end the open transaction before this statement',
+            )
         if self._transaction is not None:
             if found.kind in _NOT_IN_TRANSACTION:
                 return refusals.unsupported(
--- a/tests/daemon/test_pool.py
+++ b/tests/daemon/test_pool.py
@@ -150,3 +150,15 @@
     connections.release(held)
     acquired = await asyncio.wait_for(connections.acquire(), 1)
     assert acquired.is_ok()
+
+
+async def test_one_lost_connection_has_the_others_checked(server):
+    """Guards against sending a write into another silent connection."""
+    connections = make_pool()
+    await connections.maintain()
+    lost = (await connections.acquire()).unwrap()
+    silent = server.opened[0] if lost is server.opened[1] else server.opened[1]
+    silent.answers = False
+    lost.healthy = False
+    connections.release(lost)
+    assert (await connections.acquire()).unwrap() is not silent
