Ask again for a position that came too late

When it arrived after its window, the read was refused with reason no_holder at once, though nothing had run and a second call would do.

Ruled out: the read itself, which had not been sent yet.

Conclusion: the position is asked for again within the hold. No test forces the case.

--- a/celeryrelay/daemon/session.py
+++ b/celeryrelay/daemon/session.py
@@ -364,12 +364,18 @@
             sql='',
             durability=sets.Durability.local,
         )
-        last: outcomes.Outcome = refusals.unknown_primary()
-        async for part in self._deliverer.on_primary(statement, message):
-            if isinstance(part, callers.CloseConnection):
-                last = refusals.no_holder(part.message)
-            elif isinstance(part, delivery.LAST):
-                last = part
+        while True:
+            last: outcomes.Outcome = refusals.unknown_primary()
+            late = False
+            async for part in self._deliverer.on_primary(statement, message):
+                if isinstance(part, callers.CloseConnection):
+                    late = True
+                    last = refusals.no_holder(part.message)
+                elif isinstance(part, delivery.LAST):
+                    last = part
+            # A position that came too late has no effect and is asked again.
+            if not late or not await self._deliverer.hold(statement):
+                break
         if isinstance(last, outcomes.Done) and last.position is not None:
             self._advance(last.position)
         return last
