Use asyncio.timeout in place of wait_for in the daemon

Cause: wait_for of Python 3.11 can swallow a cancellation, so a task of the daemon could go on after its stop; a stand-in was hit by that. Ruled out: shields around the waits, which hide cancellations as well. A statement that starts in the moment of its deadline keeps its place now. A failover that ends with an exception is logged.

--- a/celeryrelay/daemon/admission.py
+++ b/celeryrelay/daemon/admission.py
@@ -56,9 +56,10 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
         try:
-            return await asyncio.wait_for(future, budget_ms / _MS_PER_S)
+            async with asyncio.timeout(budget_ms / _MS_PER_S):
+                return await future
         except TimeoutError:
-            return self._expire(number)
+            return self._expire(number, future)
         except asyncio.CancelledError:
             self._abandon(number, future)
             raise
@@ -68,8 +69,15 @@
         now = self._clock.monotonic()
         self._settle(self._queue.release(number, now, service_ms, ok))
 
-    def _expire(self, number: int) -> decisions.Refuse:
+    def _expire(
+        self,
+        number: int,
+        future: asyncio.Future[decisions.Start | decisions.Refuse],
+    ) -> decisions.Start | decisions.Refuse:
         self._waiting.pop(number, None)
+        if future.done() and not future.cancelled():
+            # The queue started the statement in the moment of its deadline.
+            return future.result()
         self._queue.cancel(number)
         return decisions.Refuse(
             number,
--- a/celeryrelay/daemon/confirmation.py
+++ b/celeryrelay/daemon/confirmation.py
@@ -1,6 +1,7 @@
 """Confirmation of writes by another slot of the group."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 import result
@@ -115,10 +116,9 @@
         ]
         if self._waiters:
             return
-        try:
-            await asyncio.wait_for(self._wake.wait(), timeout=IDLE_CHECK_S)
-        except TimeoutError:
-            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_CHECK_S):
+                await self._wake.wait()
 
 
 def _resolve(asked: list[_Waiter], answer: guard.Confirmation) -> int:
--- a/celeryrelay/daemon/fleet.py
+++ b/celeryrelay/daemon/fleet.py
@@ -1,6 +1,7 @@
 """What this daemon knows of the fleet; owned by the control task."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections import abc
 
@@ -146,10 +147,10 @@
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait until something changes, at most `timeout_s` seconds."""
-        try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
-        except TimeoutError:
-            return
+        changed = self._changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
 
     def _is_newer(self, stamp: Stamp) -> bool:
         known = self.stamp
--- a/celeryrelay/daemon/promoter.py
+++ b/celeryrelay/daemon/promoter.py
@@ -121,6 +121,7 @@
             self._failing_since(group, record, now),
         )
         task = asyncio.create_task(self._carry_out(run))
+        task.add_done_callback(_log_failure)
         self._running[group.name] = task
 
     def _failing_since(
@@ -145,6 +146,11 @@
             self._running.pop(run.group.name, None)
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _LOG.error('failover ended with a fault: {0!r}', task.exception())
+
+
 class FailoverRun:
     """Carries out the commands of one failover state machine."""
 
@@ -202,7 +208,8 @@
 
     async def _next_event(self) -> commands.Event:
         try:
-            return await asyncio.wait_for(self._inbox.get(), TICK_S)
+            async with asyncio.timeout(TICK_S):
+                return await self._inbox.get()
         except TimeoutError:
             return self._news()
 
