--- a/celeryrelay/daemon/holder.py
+++ b/celeryrelay/daemon/holder.py
@@ -215,7 +215,8 @@
             return replies.lagging(
                 'the replica has not reached the session position',
             )
-        if not _is_fresh(self.parts.age, status, run):
+        now = self._clock.monotonic()
+        if not _is_fresh(self.parts.age, status, run.request, now):
             return replies.lagging(
                 'the replica is older than the stale-read rule allows',
             )
@@ -507,18 +508,16 @@
 
 def _is_fresh(
     age: staleness.ReplicaAge,
-    status: probes.SlotStatus | None,
-    run: _Run,
+    status: probes.SlotStatus,
+    request: messages.StatementRequest,
+    now: float,
 ) -> bool:
-    max_age_ms = run.request.max_age_ms
-    if max_age_ms is None:
+    if request.max_age_ms is None:
         return True
-    if status is None:
-        return False
     if status.role == 'primary':
         return True
-    age_ms = age.age_ms(status.applied, run.started_at)
-    return age_ms is not None and age_ms <= max_age_ms
+    age_ms = age.age_ms(status.applied, now)
+    return age_ms is not None and age_ms <= request.max_age_ms
 
 
 def _timeout_ms(
