--- a/celeryrelay/daemon/holder.py
+++ b/celeryrelay/daemon/holder.py
@@ -19,6 +19,7 @@
     idempotency,
     pool,
     probes,
+    read_checks,
     refusals,
     replies,
     transactions,
@@ -69,6 +70,12 @@
         self.transactions = transactions.TransactionTable(ticker)
         self._options = options
         self._clock = ticker
+        self._read_check = read_checks.ReadCheck(
+            parts.probe,
+            parts.age,
+            options,
+            ticker,
+        )
 
     async def statement(self, request: messages.StatementRequest) -> Lines:
         """Run a statement and yield the lines of its answer."""
@@ -175,7 +182,9 @@
         connection: backends.BackendConnection,
     ) -> Lines:
         request = run.request
-        refusal = await self._reach_bound(run, connection)
+        before = self._clock.monotonic()
+        refusal = await self._read_check.refusal(request, connection)
+        self._delayed(run, outcomes.DelayCause.lag_wait, before)
         if refusal is not None:
             yield _last(refusal)
             return
@@ -185,67 +194,6 @@
         async for line in self._answer(run, connection, reply):
             yield line
 
-    async def _reach_bound(
-        self,
-        run: _Run,
-        connection: backends.BackendConnection,
-    ) -> outcomes.NotRun | None:
-        status = self.parts.probe.status
-        if status is not None and self._refusal(status, run) is None:
-            return None
-        refreshed = await self._refreshed(run, connection)
-        if refreshed is None:
-            return replies.lagging('the slot gave no status')
-        self.parts.probe.status = refreshed
-        return self._refusal(refreshed, run)
-
-    def _refusal(
-        self,
-        status: probes.SlotStatus,
-        run: _Run,
-    ) -> outcomes.NotRun | None:
-        """Return why a slot in this state can't serve a read."""
-        bound = run.request.bound
-        # A position survives only the promotions that the entry knows of, so
-        # a slot of a later term must not serve it either. A closed slot may
-        # have other entries at the same offsets.
-        if status.term != bound.term or status.role == 'closed':
-            return replies.lagging('the slot is in another term')
-        if status.role == 'replica' and status.applied < bound.offset:
-            return replies.lagging(
-                'the replica has not reached the session position',
-            )
-        now = self._clock.monotonic()
-        if not _is_fresh(self.parts.age, status, run.request, now):
-            return replies.lagging(
-                'the replica is older than the stale-read rule allows',
-            )
-        return None
-
-    async def _refreshed(
-        self,
-        run: _Run,
-        connection: backends.BackendConnection,
-    ) -> probes.SlotStatus | None:
-        """Wait for the bound and return the slot's status then."""
-        before = self._clock.monotonic()
-        bound = run.request.bound
-        await connection.query(
-            'CALL group_wait({0}, {1}, {2})'.format(
-                bound.term,
-                bound.offset,
-                int(run.request.read_wait_ms),
-            ),
-            run.request.read_wait_ms + self._options.progress_timeout_ms,
-        )
-        self._delayed(run, outcomes.DelayCause.lag_wait, before)
-        sent_at = self._clock.monotonic()
-        answered = await connection.query(
-            'CALL group_status()',
-            self._options.progress_timeout_ms,
-        )
-        return probes.parse_status(answered.unwrap_or([]), sent_at)
-
     async def _write(
         self,
         run: _Run,
@@ -506,20 +454,6 @@
             run.delays.append(outcomes.Delay(cause, duration_ms))
 
 
-def _is_fresh(
-    age: staleness.ReplicaAge,
-    status: probes.SlotStatus,
-    request: messages.StatementRequest,
-    now: float,
-) -> bool:
-    if request.max_age_ms is None:
-        return True
-    if status.role == 'primary':
-        return True
-    age_ms = age.age_ms(status.applied, now)
-    return age_ms is not None and age_ms <= request.max_age_ms
-
-
 def _timeout_ms(
     options: settings.StatementSettings,
     request: messages.StatementRequest,
--- /dev/null
+++ b/celeryrelay/daemon/read_checks.py
@@ -0,0 +1,95 @@
+"""Check that a slot may serve a read of a session."""
+
+from celeryrelay.adapters import backends
+from celeryrelay.conf import settings
+from celeryrelay.core import clock, messages, outcomes
+from celeryrelay.daemon import probes, replies
+from celeryrelay.sessions import staleness
+
+
+class ReadCheck:
+    """Compares the state of one slot with what a read has to see."""
+
+    def __init__(
+        self,
+        probe: probes.SlotProbe,
+        age: staleness.ReplicaAge,
+        options: settings.StatementSettings,
+        ticker: clock.Clock,
+    ) -> None:
+        """Check reads against the status that `probe` knows."""
+        self._probe = probe
+        self._age = age
+        self._options = options
+        self._clock = ticker
+
+    async def refusal(
+        self,
+        request: messages.StatementRequest,
+        connection: backends.BackendConnection,
+    ) -> outcomes.NotRun | None:
+        """Return why the slot can't serve the read, or None if it can.
+
+        Waits for the bound if the known status has not reached it.
+        """
+        known = self._probe.status
+        if known is not None and self._judge(known, request) is None:
+            return None
+        refreshed = await self._refreshed(request, connection)
+        if refreshed is None:
+            return replies.lagging('the slot gave no status')
+        self._probe.status = refreshed
+        return self._judge(refreshed, request)
+
+    def _judge(
+        self,
+        status: probes.SlotStatus,
+        request: messages.StatementRequest,
+    ) -> outcomes.NotRun | None:
+        bound = request.bound
+        # A position survives only the promotions that the entry knows of, so
+        # a slot of a later term must not serve it either. A closed slot may
+        # have other entries at the same offsets.
+        if status.term != bound.term or status.role == 'closed':
+            return replies.lagging('the slot is in another term')
+        if status.role == 'replica' and status.applied < bound.offset:
+            return replies.lagging(
+                'the replica has not reached the session position',
+            )
+        if not self._is_fresh(status, request.max_age_ms):
+            return replies.lagging(
+                'the replica is older than the stale-read rule allows',
+            )
+        return None
+
+    def _is_fresh(
+        self,
+        status: probes.SlotStatus,
+        max_age_ms: float | None,
+    ) -> bool:
+        if max_age_ms is None or status.role == 'primary':
+            return True
+        age_ms = self._age.age_ms(status.applied, self._clock.monotonic())
+        return age_ms is not None and age_ms <= max_age_ms
+
+    async def _refreshed(
+        self,
+        request: messages.StatementRequest,
+        connection: backends.BackendConnection,
+    ) -> probes.SlotStatus | None:
+        """Wait for the bound and return the slot's status then."""
+        bound = request.bound
+        await connection.query(
+            'CALL group_wait({0}, {1}, {2})'.format(
+                bound.term,
+                bound.offset,
+                int(request.read_wait_ms),
+            ),
+            request.read_wait_ms + self._options.progress_timeout_ms,
+        )
+        sent_at = self._clock.monotonic()
+        answered = await connection.query(
+            'CALL group_status()',
+            self._options.progress_timeout_ms,
+        )
+        return probes.parse_status(answered.unwrap_or([]), sent_at)
