--- a/tests/terms/simulation.py
+++ b/tests/terms/simulation.py
@@ -109,13 +109,13 @@
             if entry[0] < term and entry not in log:
                 self.faults.append('replicated write is lost')
 
-    def on_told(self, entry, is_final):
+    def on_told(self, entry, must_survive):
         self.told += 1
         later = [log for term, log in self.opened if term > entry[0]]
         self.told_late += bool(later)
         if later and entry not in later[0]:
             self.faults.append('acknowledged by a replaced primary')
-        if is_final:
+        if must_survive:
             self.replicated.append(entry)
             if any(entry not in log for log in later):
                 self.faults.append('replicated write is lost')
@@ -330,7 +330,8 @@
 
     def _tell(self, entry, until):
         if until is None or self.world.local(self.name) < until:
-            self.world.checker.on_told(entry, until is None)
+            must_survive = self.durability is sets.Durability.replicated
+            self.world.checker.on_told(entry, must_survive or until is None)
 
 
 class Promoter:
