Move the run of a failover out of the promoter

The promoter decides when a failover starts; the new module carries out the commands of its state machine.

--- a/celeryrelay/daemon/application.py
+++ b/celeryrelay/daemon/application.py
@@ -29,6 +29,7 @@
     entry,
     establishment,
     evidence,
+    failover_run,
     fleet,
     forwarding,
     holders,
@@ -253,7 +254,7 @@
             self._events,
         )
         self._promoter = promoter.Promoter(
-            promoter.PromoterParts(
+            failover_run.PromoterParts(
                 fleet=self.fleet,
                 evidence=self._evidence,
                 holders=self._holders,
--- /dev/null
+++ b/celeryrelay/daemon/failover_run.py
@@ -0,0 +1,293 @@
+"""One failover: store and slot calls for its state machine."""
+
+import asyncio
+import dataclasses
+
+import result
+
+from celeryrelay.accounting import batches
+from celeryrelay.adapters import backends, logs, platform
+from celeryrelay.conf import sets, settings
+from celeryrelay.core import clock, messages
+from celeryrelay.daemon import evidence, fleet, holders, observer
+from celeryrelay.terms import failover, records
+from celeryrelay.terms import messages as commands
+from celeryrelay.timeline import events
+
+TICK_S = 0.02
+SLOT_CALL_TIMEOUT_MS = 500
+STORE_RETRY_S = 0.1
+_MS_PER_S = 1000
+
+_LOG = logs.get('promoter')
+
+
+@dataclasses.dataclass(slots=True)
+class PromoterParts:
+    """What the promoter works with."""
+
+    fleet: fleet.Fleet
+    evidence: evidence.EvidenceTable
+    holders: holders.HolderTable
+    platform: platform.PlatformClient
+    builder: batches.BatchBuilder
+    settings: settings.Settings
+    events: events.EventLog
+    clock: clock.Clock
+
+
+class FailoverRun:
+    """Carries out the commands of one failover state machine."""
+
+    def __init__(
+        self,
+        parts: PromoterParts,
+        group: sets.DatabaseGroup,
+        record: records.TermRecord,
+        since: float,
+        failing_since: float,
+    ) -> None:
+        """Prepare the failover of `group` from `record`."""
+        self.group = group
+        self._parts = parts
+        self._record = record
+        self._since = since
+        self._failing_since = failing_since
+        self._seen_revision = 0
+        self._machine = failover.Failover(
+            parts.settings.terms,
+            [slot.name for slot in group.slots],
+            leaving=frozenset(
+                slot.name
+                for slot in group.slots
+                if slot.address in parts.fleet.leaving
+            ),
+        )
+        self._inbox: asyncio.Queue[commands.Event] = asyncio.Queue()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> bool:
+        """Run to the end; return whether a new term was opened."""
+        entry = self._parts.fleet.entries[self.group.name]
+        self._seen_revision = entry.revision
+        self._emit('failover_started', term=self._record.term)
+        _LOG.info('failover of {0} started', self.group.name)
+        start = commands.Start(self._record, entry.revision, self._since)
+        await self._inbox.put(start)
+        try:
+            while True:
+                for command in self._machine.handle(
+                    await self._next_event(),
+                    self._parts.clock.monotonic(),
+                ):
+                    if isinstance(command, commands.Finished):
+                        self._finished(command)
+                        return True
+                    if isinstance(command, commands.GivenUp):
+                        self._emit('failover_given_up', reason=command.reason)
+                        return False
+                    self._spawn(command)
+        finally:
+            # Calls that make further slots follow may still be running.
+            await self._drain()
+
+    async def _next_event(self) -> commands.Event:
+        try:
+            async with asyncio.timeout(TICK_S):
+                return await self._inbox.get()
+        except TimeoutError:
+            return self._news()
+
+    def _news(self) -> commands.Event:
+        """Return a change that another promoter has made, or a tick."""
+        entry = self._parts.fleet.entries[self.group.name]
+        record = self._parts.fleet.record(self.group.name)
+        watching = self._machine.phase is failover.Phase.watching
+        known = entry.revision <= self._seen_revision
+        if record is None or known or not watching:
+            return commands.Tick()
+        self._seen_revision = entry.revision
+        return commands.RecordRead(record, entry.revision)
+
+    async def _drain(self) -> None:
+        if self._tasks:
+            await asyncio.wait(
+                self._tasks,
+                timeout=SLOT_CALL_TIMEOUT_MS / _MS_PER_S,
+            )
+
+    def _spawn(self, command: commands.Command) -> None:
+        task = asyncio.create_task(self._execute(command))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _execute(self, command: commands.Command) -> None:
+        match command:
+            case commands.SwapRecord():
+                event = await self._swap(command)
+            case commands.ReadRecord():
+                event = await self._read()
+            case commands.RaiseTerm():
+                event = await self._raise_term(command)
+            case commands.PromoteSlot():
+                event = await self._promote(command)
+            case commands.FollowPrimary():
+                event = await self._follow(command)
+            case _:
+                return
+        if isinstance(event, commands.StoreLost):
+            await asyncio.sleep(STORE_RETRY_S)
+        await self._inbox.put(event)
+
+    async def _swap(self, command: commands.SwapRecord) -> commands.Event:
+        self._emit(
+            'term_swap',
+            term=command.record.term,
+            state=command.record.state,
+            primary=command.record.primary,
+        )
+        answered = await self._parts.platform.put(
+            self._key(),
+            records.dump(command.record),
+            command.expected_revision,
+        )
+        match answered:
+            case result.Ok(written):
+                return commands.SwapStored(command.record, written.revision)
+            case result.Err(platform.Conflict(entry)):
+                return self._parsed(entry, commands.SwapConflict)
+        return commands.StoreLost()
+
+    async def _read(self) -> commands.Event:
+        match await self._parts.platform.get(self._key()):
+            case result.Ok(entry):
+                return self._parsed(entry, commands.RecordRead)
+        return commands.StoreLost()
+
+    def _parsed(
+        self,
+        entry: platform.Entry,
+        shape: type[commands.SwapConflict | commands.RecordRead],
+    ) -> commands.Event:
+        match records.parse(self.group.name, entry.value):
+            case result.Ok(record):
+                return shape(record, entry.revision)
+            case result.Err(message):
+                _LOG.error('term record refused: {0}', message)
+        return commands.StoreLost()
+
+    async def _raise_term(self, command: commands.RaiseTerm) -> commands.Event:
+        answered = await self._call(
+            command.slot,
+            'CALL group_raise_term({0})'.format(command.term),
+        )
+        match answered:
+            case result.Ok([(term, log_term, applied), *_]):
+                self._emit('slot_raised', slot=command.slot, term=int(term))
+                return commands.RaiseAnswered(
+                    command.slot,
+                    int(term),
+                    int(log_term),
+                    int(applied),
+                )
+            case result.Err(backends.ServerError()):
+                return commands.SlotRefused(command.slot, command.term)
+        return commands.RaiseFailed(command.slot, command.term)
+
+    async def _promote(self, command: commands.PromoteSlot) -> commands.Event:
+        answered = await self._call(
+            command.slot,
+            'CALL group_promote({0})'.format(command.term),
+        )
+        match answered:
+            case result.Ok([(term, *_, applied), *_]):
+                self._emit('slot_promoted', slot=command.slot, term=int(term))
+                return commands.PromoteAnswered(
+                    command.slot,
+                    int(term),
+                    int(applied),
+                )
+            case result.Err(backends.ServerError()):
+                return commands.SlotRefused(command.slot, command.term)
+        return commands.PromoteFailed(command.slot, command.term)
+
+    async def _follow(self, command: commands.FollowPrimary) -> commands.Event:
+        primary = self.group.slot(command.primary)
+        if primary is None:
+            return commands.FollowFailed(command.slot, command.term)
+        answered = await self._call(
+            command.slot,
+            "CALL group_follow({0}, '{1}', {2})".format(
+                command.term,
+                primary.host,
+                primary.port,
+            ),
+        )
+        if answered.is_ok():
+            return commands.FollowAnswered(command.slot, command.term)
+        return commands.FollowFailed(command.slot, command.term)
+
+    async def _call(
+        self,
+        name: str,
+        sql: str,
+    ) -> result.Result[
+        list[backends.Row],
+        backends.ConnectFailure | backends.ServerError | backends.Lost,
+    ]:
+        slot = self.group.slot(name)
+        if slot is None:
+            return result.Err(backends.Lost('no such slot'))
+        address = self._parts.holders.address(slot, self.group)
+        return await observer.call_slot(address, sql, SLOT_CALL_TIMEOUT_MS)
+
+    def _finished(self, finished: commands.Finished) -> None:
+        parts = self._parts
+        record = finished.record
+        entry = messages.TermEntry(
+            record.group,
+            records.dump(record),
+            finished.revision,
+        )
+        if parts.fleet.stamp is not None:
+            parts.fleet.take_terms([entry], parts.fleet.stamp)
+        split = finished.split
+        elapsed_s = parts.clock.monotonic() - self._failing_since
+        detection_ms = elapsed_s * _MS_PER_S
+        detection_ms -= split.closing + split.waiting
+        detection_ms -= split.promoting + split.opening
+        self._emit(
+            'failover_finished',
+            term=record.term,
+            primary=record.primary,
+            base_offset=record.history[-1].base_offset,
+            **dataclasses.asdict(split),
+        )
+        _LOG.info(
+            'failover of {0} finished: {1} is primary of term {2}',
+            record.group,
+            record.primary,
+            record.term,
+        )
+        wall_s = parts.clock.wall()
+        parts.builder.failover(
+            wall_s,
+            batches.FailoverRecord(
+                group=record.group,
+                term=record.term,
+                completed_ms=int(wall_s * _MS_PER_S),
+                detection_ms=max(detection_ms, 0),
+                closing_ms=split.closing,
+                waiting_ms=split.waiting,
+                raising_ms=split.raising,
+                promoting_ms=split.promoting,
+                opening_ms=split.opening,
+                lost_positions=finished.lost_positions,
+            ),
+        )
+
+    def _key(self) -> str:
+        return 'groups/{0}/term'.format(self.group.name)
+
+    def _emit(self, kind: str, **fields: object) -> None:
+        self._parts.events.emit(kind, group=self.group.name, **fields)
