--- a/celeryrelay/admission/limits.py
+++ b/celeryrelay/admission/limits.py
@@ -87,3 +87,18 @@
 
     def _scale(self, factor: float) -> None:
         self._limit = max(self._limit * factor, self._minimum)
+
+
+class FixedLimit:
+    """Concurrency limit that its owner sets."""
+
+    def __init__(self, limit: int) -> None:
+        """Start with `limit`, at least 1."""
+        self.current = max(limit, 1)
+
+    def resize(self, limit: int) -> None:
+        """Change the limit, at least 1."""
+        self.current = max(limit, 1)
+
+    def on_sample(self, service_ms: float, ok: bool, now: float) -> None:
+        """Ignore the service time of a statement."""
--- a/celeryrelay/admission/queue.py
+++ b/celeryrelay/admission/queue.py
@@ -34,7 +34,7 @@
     def __init__(
         self,
         policies: abc.Mapping[ranks.Rank, sets.RankPolicy],
-        limit: limits.AdaptiveLimit,
+        limit: limits.AdaptiveLimit | limits.FixedLimit,
         seed: int | random.Random,
         tuning: Tuning = _MEASURED_TUNING,
     ) -> None:
--- a/celeryrelay/core/clock.py
+++ b/celeryrelay/core/clock.py
@@ -26,6 +26,21 @@
         return time.time()
 
 
+class SuspendAwareClock:
+    """Clock whose monotonic time includes the time of a suspended machine.
+
+    What a process believed before a suspension has aged by its duration.
+    """
+
+    def monotonic(self) -> float:
+        """Return the monotonic time in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall(self) -> float:
+        """Return the Unix time in seconds."""
+        return time.time()
+
+
 class ManualClock:
     """Clock that a test moves by hand."""
 
--- a/celeryrelay/core/outcomes.py
+++ b/celeryrelay/core/outcomes.py
@@ -41,6 +41,9 @@
     lost_position = 'lost_position'
     bad_token = 'bad_token'
     unsupported = 'unsupported'
+    unknown_database = 'unknown_database'
+    unknown_statement = 'unknown_statement'
+    malformed = 'malformed'
 
 
 class DelayCause(enum.StrEnum):
--- /dev/null
+++ b/celeryrelay/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon in front of databases whose terms the platform assigns."""
--- /dev/null
+++ b/celeryrelay/gateway/application.py
@@ -0,0 +1,271 @@
+"""The daemon: its tasks, from start to a planned stop."""
+
+import asyncio
+import dataclasses
+import secrets
+import typing
+from collections import abc
+
+import result
+
+from celeryrelay.adapters import lines
+from celeryrelay.core import clock as clocks
+from celeryrelay.gateway import (
+    catalog,
+    directory,
+    failover,
+    metrics,
+    ports,
+    primaries,
+    services,
+    sessions,
+    settings,
+)
+
+MAINTAIN_S = 0.25
+RENEW_PART = 0.3
+RETRY_S = 0.3
+# The load balancer takes a daemon out of rotation after two failed probes, one
+# a second.
+OUT_OF_ROTATION_S = 2.1
+# Part of the grace that open transactions get, and time kept for the exit.
+TRANSACTION_PART = 0.5
+EXIT_RESERVE_S = 0.6
+STOP_TICK_S = 0.03
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adapters:
+    """Adapters to the outside.
+
+    Attributes:
+        store: The platform's store.
+        orders: Takes promotion orders.
+        connector: Opens connections to backend servers.
+    """
+
+    store: ports.Store
+    orders: ports.Orders
+    connector: ports.Connector
+
+
+class Application:
+    """One daemon."""
+
+    def __init__(
+        self,
+        options: settings.Settings,
+        adapters: Adapters,
+        clock: clocks.Clock,
+    ) -> None:
+        """Create all parts without any connection."""
+        known = directory.Directory(clock, options.gone_after_s)
+        pools = services.Pools(known, adapters.connector, clock)
+        self._options = options
+        self._adapters = adapters
+        self._clock = clock
+        self._log = lines.get('daemon')
+        self._member = catalog.Member(
+            options.instance,
+            options.availability_zone,
+            secrets.token_hex(8),
+        )
+        self._registered = asyncio.Event()
+        self._lease = 0
+        self._tasks: list[asyncio.Task] = []
+        self.stopping = False
+        self.shared = services.Services(
+            options=options,
+            clock=clock,
+            directory=known,
+            pools=pools,
+            primaries=primaries.Primaries(known, pools, clock),
+            metrics=metrics.Metrics(),
+        )
+        self.sessions = sessions.Sessions(self.shared)
+        self._failover = failover.Failover(
+            self.shared,
+            adapters.store,
+            adapters.orders,
+            adapters.connector,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the daemon should get new callers."""
+        return self.shared.directory.catalog is not None and not self.stopping
+
+    def start(self, feed: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Start the tasks; `feed` passes the store's changes on."""
+        self._log.info('start', **dataclasses.asdict(self._options))
+        for part in (
+            feed,
+            self._register(),
+            self._maintain(),
+            self._failover.run(),
+        ):
+            task = asyncio.create_task(part)
+            task.add_done_callback(self._on_task_ended)
+            self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """Leave without interrupting a statement."""
+        self.stopping = True
+        begun = self._clock.monotonic()
+        self._log.info('stop', sessions=len(self.sessions))
+        aborted = False
+        while self.sessions or self._age(begun) < OUT_OF_ROTATION_S:
+            age_s = self._age(begun)
+            if age_s >= self._options.stop_grace_s - EXIT_RESERVE_S:
+                break
+            if age_s >= OUT_OF_ROTATION_S:
+                self.sessions.close_idle()
+            half = self._options.stop_grace_s * TRANSACTION_PART
+            if age_s >= half and not aborted:
+                aborted = True
+                self.sessions.abort_transactions('planned stop')
+            await asyncio.sleep(STOP_TICK_S)
+        self._log.info(
+            'stopped',
+            sessions=len(self.sessions),
+            duration_s=round(self._age(begun), 2),
+        )
+        await self._leave()
+
+    def reload(self, options: settings.Settings) -> None:
+        """Note changed settings; addresses need a restart."""
+        changed = {
+            field.name: getattr(options, field.name)
+            for field in dataclasses.fields(options)
+            if getattr(options, field.name)
+            != getattr(self._options, field.name)
+        }
+        self._log.info('settings read', changed=changed)
+
+    def on_snapshot(self, items: abc.Sequence[catalog.Change]) -> None:
+        """Take all items of the store."""
+        before = self.shared.directory.catalog
+        self.shared.directory.on_snapshot(items)
+        self._note_catalog(before)
+        self._check_registration()
+
+    def on_change(self, change: catalog.Change) -> None:
+        """Take one change of the store."""
+        before = self.shared.directory.catalog
+        self.shared.directory.on_change(change)
+        match change:
+            case catalog.Catalog():
+                self._note_catalog(before)
+            case catalog.Server():
+                self._log.info(
+                    'backend server',
+                    server=change.server_id,
+                    group=change.group,
+                    state=change.state.value,
+                    role=change.role.value,
+                    revision=change.revision,
+                )
+            case catalog.Removed():
+                self._log.info(
+                    'removed',
+                    item=change.kind.__name__.lower(),
+                    name=change.name,
+                    revision=change.revision,
+                )
+                self._check_registration()
+
+    def on_store(self, reachable: bool) -> None:
+        """Note that the store answers, or does not."""
+        self.shared.metrics.level('store_reachable', int(reachable))
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics page."""
+        shared = self.shared
+        known = shared.directory.catalog
+        for kind, level in (
+            ('sessions', len(self.sessions)),
+            ('connections_opened', shared.pools.opened_total()),
+            ('configuration_version', known.version if known else 0),
+            ('members', len(shared.directory.members.names)),
+        ):
+            shared.metrics.level(kind, level)
+        return shared.metrics.render()
+
+    def _age(self, since: float) -> float:
+        return self._clock.monotonic() - since
+
+    def _note_catalog(self, before: catalog.Catalog | None) -> None:
+        known = self.shared.directory.catalog
+        if known is not None and known is not before:
+            self._log.info(
+                'configuration in force',
+                version=known.version,
+                before=before.version if before else 0,
+                routes=len(known.routes),
+            )
+
+    def _check_registration(self) -> None:
+        names = self.shared.directory.members.names
+        if self._lease and self._options.instance not in names:
+            self._registered.clear()
+
+    async def _register(self) -> typing.NoReturn:
+        """Keep the daemon's registration alive."""
+        renew_s = self._options.lease_ttl_ms * RENEW_PART / 1000
+        while True:
+            if not self._registered.is_set():
+                await self._register_once()
+            try:
+                async with asyncio.timeout(renew_s):
+                    await self._until_lost()
+            except TimeoutError:
+                await self._renew()
+
+    async def _until_lost(self) -> None:
+        while self._registered.is_set():
+            await asyncio.sleep(RETRY_S)
+        await asyncio.sleep(RETRY_S)
+
+    async def _register_once(self) -> None:
+        match await self._adapters.store.register(
+            self._member,
+            self._options.lease_ttl_ms,
+        ):
+            case result.Ok(lease):
+                self._lease = lease
+                self._failover.lease = lease
+                self._registered.set()
+                self._log.info('registered', lease=lease)
+            case result.Err(problem):
+                self._log.warn('not registered', problem=problem.message)
+
+    async def _renew(self) -> None:
+        match await self._adapters.store.renew(self._lease):
+            case result.Ok(False):
+                self._log.warn('registration ended', lease=self._lease)
+                self._registered.clear()
+            case result.Err(problem):
+                self._log.info('lease not renewed', problem=problem.message)
+
+    async def _maintain(self) -> typing.NoReturn:
+        while True:
+            await asyncio.sleep(MAINTAIN_S)
+            self.shared.pools.maintain()
+
+    async def _leave(self) -> None:
+        for task in self._tasks:
+            task.remove_done_callback(self._on_task_ended)
+            task.cancel()
+        self.shared.primaries.stop()
+        if self._lease:
+            match await self._adapters.store.release(self._lease):
+                case result.Err(problem):
+                    self._log.info('lease not ended', problem=problem.message)
+
+    def _on_task_ended(self, task: asyncio.Task) -> None:
+        """Stop the process if a task ends: its invariant is broken."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        self._log.critical('task ended', error=repr(error))
+        asyncio.get_running_loop().stop()
--- /dev/null
+++ b/celeryrelay/gateway/directory.py
@@ -0,0 +1,199 @@
+"""What a daemon knows of configuration, servers and other daemons.
+
+Pure state: changes of the store and a clock go in. The configuration never
+goes back to an older version.
+"""
+
+import dataclasses
+from collections import abc
+
+from celeryrelay.core import clock as clocks
+from celeryrelay.gateway import catalog
+from celeryrelay.membership import connections
+from celeryrelay.terms import leadership
+
+# A draining primary gets work until a promotion replaced it, but not for so
+# long that the work arrives after it has left.
+DRAINING_PRIMARY_S = 4.0
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """A server with what this daemon noted about its registration.
+
+    Attributes:
+        server: The registration.
+        draining_since: When it was first seen as draining; None if it is not.
+        gone_since: When its registration ended; None while it exists.
+    """
+
+    server: catalog.Server
+    draining_since: float | None = None
+    gone_since: float | None = None
+
+
+class Directory:
+    """Configuration, servers, members, complaints and offices."""
+
+    def __init__(self, clock: clocks.Clock, gone_after_s: float) -> None:
+        """Start empty.
+
+        Args:
+            clock: Source of the time.
+            gone_after_s: Time after which a server whose registration ended
+                is taken as gone.
+        """
+        self._clock = clock
+        self._gone_after_s = gone_after_s
+        self._servers: dict[str, Known] = {}
+        self._leaders: dict[str, leadership.Leadership] = {}
+        self.catalog: catalog.Catalog | None = None
+        self.members = connections.MemberCount()
+        self.complaints: dict[str, catalog.Complaint] = {}
+        self.offices: dict[str, catalog.Office] = {}
+        self.office_seen: dict[str, float] = {}
+
+    def route(self, database: str) -> catalog.Route | None:
+        """Return the route of a database name."""
+        return self.catalog and self.catalog.routes.get(database)
+
+    def leader(self, group: str) -> leadership.Leadership:
+        """Return the belief about the primary of a group."""
+        return self._leaders.setdefault(group, leadership.Leadership())
+
+    def known(self, server_id: str) -> Known | None:
+        """Return a server that is not gone."""
+        found = self._servers.get(server_id)
+        return found if found and not self._is_gone(found) else None
+
+    def servers(self, group: str) -> list[Known]:
+        """Return the servers of a group that are not gone."""
+        return [
+            known
+            for known in self._servers.values()
+            if known.server.group == group and not self._is_gone(known)
+        ]
+
+    def takes_reads(self, known: Known) -> bool:
+        """Return whether a server may get new reads."""
+        return known.draining_since is None
+
+    def primary(self, group: str) -> Known | None:
+        """Return the server that may get new statements of the primary."""
+        known = self.known(self.leader(group).server_id)
+        if known is None or known.draining_since is None:
+            return known
+        age_s = self._clock.monotonic() - known.draining_since
+        return known if age_s <= DRAINING_PRIMARY_S else None
+
+    def on_snapshot(self, items: abc.Sequence[catalog.Change]) -> None:
+        """Take all items of the store; others no longer exist."""
+        for item in items:
+            self.on_change(item)
+        listed = {_key(item) for item in items}
+        for removed in self._unlisted(listed):
+            self.on_change(removed)
+
+    def on_change(self, change: catalog.Change) -> None:
+        """Take one change of the store."""
+        now = self._clock.monotonic()
+        match change:
+            case catalog.Catalog():
+                self._on_catalog(change)
+            case catalog.Server():
+                self._on_server(change, now)
+            case catalog.Member():
+                self.members.on_seen(change.name)
+            case catalog.Complaint():
+                key = '{0}/{1}'.format(change.group, change.member)
+                self.complaints[key] = change
+            case catalog.Office():
+                self._on_office(change, now)
+            case catalog.Removed(catalog.Server, name):
+                self._on_server_removed(name, now)
+            case catalog.Removed(catalog.Member, name):
+                self.members.on_removed(name, now)
+            case catalog.Removed(catalog.Complaint, name):
+                self.complaints.pop(name, None)
+
+    def forget_gone(self) -> list[str]:
+        """Drop the servers that are gone and return their ids."""
+        gone = [
+            server_id
+            for server_id, known in self._servers.items()
+            if self._is_gone(known)
+        ]
+        for server_id in gone:
+            known = self._servers.pop(server_id)
+            self.leader(known.server.group).on_denied(server_id)
+        return gone
+
+    def _on_catalog(self, offered: catalog.Catalog) -> None:
+        if self.catalog is None or offered.version > self.catalog.version:
+            self.catalog = offered
+
+    def _on_server(self, server: catalog.Server, now: float) -> None:
+        before = self._servers.get(server.server_id)
+        known = Known(server)
+        if before is not None and server.revision < before.server.revision:
+            return
+        if server.state is catalog.ServerState.draining:
+            since = before.draining_since if before else None
+            known.draining_since = now if since is None else since
+        self._servers[server.server_id] = known
+        leads = server.role is catalog.Role.primary
+        if before is None or _differs(before, server):
+            self.leader(server.group).on_registered(
+                server.server_id,
+                leads,
+                now,
+            )
+
+    def _on_server_removed(self, server_id: str, now: float) -> None:
+        known = self._servers.get(server_id)
+        if known is not None and known.gone_since is None:
+            known.gone_since = now
+
+    def _on_office(self, office: catalog.Office, now: float) -> None:
+        known = self.offices.get(office.group)
+        if known is None or office.revision > known.revision:
+            self.offices[office.group] = office
+            self.office_seen[office.group] = now
+
+    def _is_gone(self, known: Known) -> bool:
+        if known.gone_since is None:
+            return False
+        if known.draining_since is not None:
+            return True
+        age_s = self._clock.monotonic() - known.gone_since
+        return age_s > self._gone_after_s
+
+    def _unlisted(self, listed: set[tuple[type, str]]) -> list[catalog.Removed]:
+        held = [(catalog.Server, name) for name in self._servers]
+        held += [(catalog.Member, name) for name in self.members.names]
+        held += [(catalog.Complaint, name) for name in self.complaints]
+        return [
+            catalog.Removed(kind, name)
+            for kind, name in held
+            if (kind, name) not in listed
+        ]
+
+
+def _differs(before: Known, server: catalog.Server) -> bool:
+    """Return whether a registration tells something new about the role."""
+    return (
+        before.gone_since is not None
+        or before.server.role is not server.role
+        or before.server.started_ms != server.started_ms
+    )
+
+
+def _key(item: catalog.Change) -> tuple[type, str]:
+    match item:
+        case catalog.Server():
+            return catalog.Server, item.server_id
+        case catalog.Member():
+            return catalog.Member, item.name
+        case catalog.Complaint():
+            return catalog.Complaint, '{0}/{1}'.format(item.group, item.member)
+    return type(item), ''
--- /dev/null
+++ b/celeryrelay/gateway/failover.py
@@ -0,0 +1,354 @@
+"""Replacement of primaries: evidence, complaints and orders."""
+
+import asyncio
+import secrets
+import typing
+
+import result
+
+from celeryrelay.adapters import lines
+from celeryrelay.core import ranks, rendezvous
+from celeryrelay.gateway import catalog, commands, directory, ports, services
+from celeryrelay.terms import replacement
+
+TICK_S = 0.1
+STATUS_TIMEOUT_S = 0.35
+CATCH_UP_S = 0.4
+CATCH_UP_PAUSE_S = 0.03
+# Time for which a server that could not be promoted is left out.
+UNFIT_S = 3.0
+
+Statuses = dict[str, commands.Status]
+
+
+class Failover:
+    """Task that watches the primaries of all groups and replaces them."""
+
+    def __init__(
+        self,
+        shared: services.Services,
+        store: ports.Store,
+        orders: ports.Orders,
+        connector: ports.Connector,
+    ) -> None:
+        """Order promotions with the tokens that `store` gives."""
+        self._shared = shared
+        self._store = store
+        self._orders = orders
+        self._connector = connector
+        self._log = lines.get('failover')
+        self._running: dict[str, asyncio.Task] = {}
+        self._complaints: dict[str, catalog.Complaint] = {}
+        self._unfit: dict[str, float] = {}
+        self.lease = 0
+
+    async def run(self) -> typing.NoReturn:
+        """Watch until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            known = self._shared.directory.catalog
+            for group in known.groups.values() if known else ():
+                task = self._running.get(group.name)
+                if task is None or task.done():
+                    self._running[group.name] = asyncio.create_task(
+                        self._review(group),
+                    )
+
+    def facts(self, group: str) -> replacement.Facts:
+        """Return what is known of a group's primary."""
+        shared = self._shared
+        now = shared.clock.monotonic()
+        evidence = shared.primaries.evidence[group]
+        believed = shared.directory.leader(group).server_id
+        known = shared.directory.known(believed or evidence.server_id)
+        members = shared.directory.members.names | {shared.options.instance}
+        office = shared.directory.offices.get(group)
+        order_s = now - shared.directory.office_seen.get(group, now)
+        is_own = office is not None and office.holder == shared.options.instance
+        return replacement.Facts(
+            failing_s=_age(evidence.failing_since, now),
+            failures=evidence.failures,
+            registered=known is not None and known.gone_since is None,
+            draining_s=_age(known.draining_since, now) if known else None,
+            complaints=self._complaining(group),
+            members=len(members),
+            turn=self._turn(group, members),
+            own_order_s=order_s if is_own else None,
+            other_order_s=order_s if office and not is_own else None,
+        )
+
+    def _turn(self, group: str, members: frozenset[str]) -> int:
+        order = rendezvous.top(group, members, len(members))
+        return order.index(self._shared.options.instance)
+
+    def _complaining(self, group: str) -> int:
+        own = self._shared.options.instance
+        return sum(
+            complaint.group == group and complaint.member != own
+            for complaint in self._shared.directory.complaints.values()
+        )
+
+    async def _review(self, group: catalog.Group) -> None:
+        facts = self.facts(group.name)
+        await self._share_evidence(group.name, facts)
+        decision = replacement.decide(facts)
+        if decision is replacement.Decision.wait:
+            return
+        if not self._shared.directory.servers(group.name):
+            return
+        self._log.warn(
+            'primary is replaced',
+            group=group.name,
+            decision=decision.value,
+            server=self._shared.directory.leader(group.name).server_id,
+            failing_s=facts.failing_s,
+            registered=facts.registered,
+            complaints=facts.complaints,
+            members=facts.members,
+            turn=facts.turn,
+        )
+        self._shared.metrics.event(decision.value)
+        hands_over = decision is replacement.Decision.hand_over
+        await self._replace(group, hands_over)
+
+    async def _share_evidence(
+        self,
+        group: str,
+        facts: replacement.Facts,
+    ) -> None:
+        """Write a complaint about a silent primary, or withdraw it."""
+        complaint = self._complaints.get(group)
+        if complaint is None and replacement.is_worth_a_complaint(facts):
+            complaint = catalog.Complaint(
+                self._shared.options.instance,
+                group,
+                self._shared.primaries.evidence[group].server_id,
+            )
+            self._log.info('complaint', group=group, server=complaint.server_id)
+            match await self._store.complain(complaint, self.lease):
+                case result.Ok(_):
+                    self._complaints[group] = complaint
+                case result.Err(problem):
+                    self._log.info('complaint lost', problem=problem.message)
+        elif complaint is not None and facts.failing_s is None:
+            match await self._store.withdraw(complaint):
+                case result.Ok(_):
+                    self._complaints.pop(group)
+                case result.Err(problem):
+                    self._log.info('withdrawal lost', problem=problem.message)
+
+    async def _replace(self, group: catalog.Group, hands_over: bool) -> None:
+        found = await self._statuses(group.name)
+        believed = self._shared.directory.leader(group.name).server_id
+        if not hands_over and _leads(found, believed):
+            self._log.info('primary answers again', group=group.name)
+            return
+        if not self._may_choose(group, found, believed):
+            return
+        office = await self._take_office(group.name)
+        if office is None:
+            return
+        if hands_over:
+            found = await self._step_down(group.name, believed, found)
+        chosen = self._choose(group.name, found, believed)
+        if chosen is None:
+            self._log.warn('no server to promote', group=group.name)
+            return
+        await self._order(group.name, chosen, office, found)
+
+    def _may_choose(
+        self,
+        group: catalog.Group,
+        found: Statuses,
+        believed: str,
+    ) -> bool:
+        """Return whether enough servers answered.
+
+        A group whose commits wait for a replica loses none of them only if
+        the replica that has the most is among those that answered.
+        """
+        silent = [
+            known.server.server_id
+            for known in self._shared.directory.servers(group.name)
+            if known.server.server_id not in {believed, *found}
+        ]
+        if not found or (group.replicated and silent):
+            self._log.info(
+                'too few servers answer',
+                group=group.name,
+                answered=len(found),
+                silent=silent,
+            )
+            return False
+        return True
+
+    async def _take_office(self, group: str) -> catalog.Office | None:
+        """Write the right to order; its revision is the fencing token."""
+        known = self._shared.directory.offices.get(group)
+        office = catalog.Office(
+            group,
+            self._shared.options.instance,
+            secrets.token_hex(8),
+        )
+        revision = known.revision if known else 0
+        taken = await self._store.take_office(office, revision)
+        match taken:
+            case result.Ok(int() as written):
+                return catalog.Office(
+                    office.group,
+                    office.holder,
+                    office.nonce,
+                    written,
+                )
+            case result.Err(problem) if problem.unknown:
+                return await self._settle_office(office)
+            case result.Ok(None):
+                problem = 'another daemon came first'
+        self._log.info('no office', group=group, problem=str(problem))
+        await self._refresh_office(group)
+        return None
+
+    async def _settle_office(
+        self,
+        office: catalog.Office,
+    ) -> catalog.Office | None:
+        """Find out whether a write without an answer was made."""
+        match await self._store.read_office(office.group):
+            case result.Ok(catalog.Office(nonce=nonce) as stored):
+                self._shared.directory.on_change(stored)
+                if nonce == office.nonce:
+                    return stored
+        self._log.info('no office', group=office.group, problem='answer lost')
+        return None
+
+    async def _refresh_office(self, group: str) -> None:
+        match await self._store.read_office(group):
+            case result.Ok(catalog.Office() as stored):
+                self._shared.directory.on_change(stored)
+
+    async def _step_down(
+        self,
+        group: str,
+        believed: str,
+        found: Statuses,
+    ) -> Statuses:
+        """Stop the writes of a leaving primary and wait for a replica."""
+        status = found.get(believed)
+        known = self._shared.directory.known(believed)
+        if status is None or known is None:
+            return found
+        await self._ask(known.server, commands.StepDown(status.term + 1))
+        deadline = self._shared.clock.monotonic() + CATCH_UP_S
+        while self._shared.clock.monotonic() < deadline:
+            found = await self._statuses(group)
+            goal = found.get(believed, status).position
+            if any(
+                _place(other) >= (goal.term, goal.offset)
+                for server_id, other in found.items()
+                if server_id != believed
+            ):
+                break
+            await asyncio.sleep(CATCH_UP_PAUSE_S)
+        return found
+
+    def _choose(
+        self,
+        group: str,
+        found: Statuses,
+        believed: str,
+    ) -> str | None:
+        """Return the server with the longest log, leaving ones last."""
+        now = self._shared.clock.monotonic()
+        candidates = [
+            known
+            for known in self._shared.directory.servers(group)
+            if known.server.server_id in found
+            and known.server.server_id != believed
+            and self._unfit.get(known.server.server_id, 0) <= now
+        ]
+        best = max(
+            candidates,
+            key=lambda known: (
+                known.draining_since is None,
+                _place(found[known.server.server_id]),
+            ),
+            default=None,
+        )
+        return best.server.server_id if best else None
+
+    async def _order(
+        self,
+        group: str,
+        chosen: str,
+        office: catalog.Office,
+        found: Statuses,
+    ) -> None:
+        outcome = await self._orders.promote(group, chosen, office)
+        self._log.warn(
+            'promotion ordered',
+            group=group,
+            server=chosen,
+            token=office.revision,
+            accepted=outcome.accepted,
+            answer=outcome.message,
+            positions={
+                server_id: _place(status) for server_id, status in found.items()
+            },
+        )
+        self._shared.directory.on_change(office)
+        if outcome.refused:
+            # The token or the server: leaving both out is right for either.
+            now = self._shared.clock.monotonic()
+            self._unfit[chosen] = now + UNFIT_S
+            await self._refresh_office(group)
+
+    async def _statuses(self, group: str) -> Statuses:
+        known = [one.server for one in self._shared.directory.servers(group)]
+        replies = await asyncio.gather(
+            *(self._ask(server, commands.AskStatus()) for server in known),
+        )
+        found: Statuses = {}
+        for server, reply in zip(known, replies, strict=True):
+            match reply:
+                case commands.Reply(error=None):
+                    status = self._connector.status(reply)
+                    if status is not None:
+                        found[server.server_id] = status
+        return found
+
+    async def _ask(
+        self,
+        server: catalog.Server,
+        command: commands.Command,
+    ) -> commands.Reply | commands.Lost:
+        pool = self._shared.pools.get(server)
+        deadline = self._shared.clock.monotonic() + STATUS_TIMEOUT_S
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT_S):
+                acquired = await pool.acquire(ranks.Rank.bookings, deadline)
+        except TimeoutError:
+            return commands.Lost('no connection in time')
+        match acquired:
+            case result.Err(refusal):
+                return commands.Lost(refusal.message)
+        lease = acquired.ok_value
+        (future,) = lease.send([command])
+        try:
+            async with asyncio.timeout(STATUS_TIMEOUT_S):
+                reply = await future
+        except TimeoutError:
+            reply = commands.Lost('no status in time')
+        lease.release(usable=isinstance(reply, commands.Reply))
+        return reply
+
+
+def _age(since: float | None, now: float) -> float | None:
+    return None if since is None else now - since
+
+
+def _place(status: commands.Status) -> tuple[int, int]:
+    return status.position.term, status.position.offset
+
+
+def _leads(found: Statuses, server_id: str) -> bool:
+    return server_id in found and found[server_id].leads
--- /dev/null
+++ b/celeryrelay/gateway/pool.py
@@ -0,0 +1,348 @@
+"""Connections of this daemon to one backend server."""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import itertools
+from collections import abc
+
+import result
+
+from celeryrelay.adapters import lines
+from celeryrelay.admission import decisions, limits, queue
+from celeryrelay.conf import sets
+from celeryrelay.core import clock as clocks
+from celeryrelay.core import outcomes, ranks
+from celeryrelay.gateway import catalog, commands, ports
+from celeryrelay.sessions import statements
+
+OPEN_TIMEOUT_S = 1.0
+IDLE_CLOSE_S = 30.0
+# Times for which a server that failed gets no reads while others are left.
+FAILED_S = 0.25
+MAX_FAILED_S = 1.0
+FULL_S = 0.1
+# Prepared statements that a connection keeps before it is reset.
+MAX_PREPARED = 200
+
+# Shares of the connection time under contention follow worth over work; the
+# queue keeps the first rank first up to most of the limit.
+POLICIES = {
+    rank: sets.RankPolicy(
+        rank=rank,
+        target_ms=target_ms,
+        deadline_ms=target_ms,
+        share=share,
+        worth=share,
+        durability=sets.Durability.local,
+    )
+    for rank, target_ms, share in (
+        (ranks.Rank.bookings, 400, 8),
+        (ranks.Rank.checks, 800, 2),
+        (ranks.Rank.reports, 1500, 3),
+    )
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Pooled:
+    """A connection with the session state that it was given."""
+
+    connection: ports.Connection
+    variables: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: set[str] = dataclasses.field(default_factory=set)
+    idle_since: float = 0
+
+    def align(
+        self,
+        variables: abc.Mapping[str, str],
+        template: statements.Template | None,
+        in_transaction: bool = False,
+    ) -> list[commands.Command]:
+        """Return the commands that give the connection a session's state.
+
+        Args:
+            variables: Session variables of the caller.
+            template: Template that has to be prepared; None for none.
+            in_transaction: Whether a transaction of the session is open; the
+                connection was given the session's state before it.
+        """
+        found: list[commands.Command] = []
+        if not in_transaction and self._needs_reset(variables):
+            found.append(commands.Reset())
+            self.variables.clear()
+            self.prepared.clear()
+        for name, setting in variables.items():
+            if self.variables.get(name) != setting:
+                found.append(commands.SetVariable(name, setting))
+                self.variables[name] = setting
+        if template is not None:
+            name = prepared_name(template)
+            if name not in self.prepared:
+                found.append(commands.Prepare(name, template))
+                self.prepared.add(name)
+        return found
+
+    def _needs_reset(self, variables: abc.Mapping[str, str]) -> bool:
+        foreign = any(name not in variables for name in self.variables)
+        return foreign or len(self.prepared) > MAX_PREPARED
+
+
+def prepared_name(template: statements.Template) -> str:
+    """Return the daemon's own name for a template."""
+    text = '{0}{1}'.format('w' if template.writes else 'r', template.shape)
+    digest = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+    return 'p{0}'.format(digest)
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """The right to use a connection until `release`."""
+
+    pool: 'ServerPool'
+    pooled: Pooled
+    ticket_id: int
+    started: float
+    busy_ms: float = 0
+
+    @property
+    def server(self) -> catalog.Server:
+        """Server of the connection."""
+        return self.pool.server
+
+    def send(
+        self,
+        batch: abc.Sequence[commands.Command],
+    ) -> list[asyncio.Future]:
+        """Send commands in one write."""
+        return self.pooled.connection.send(batch)
+
+    def release(self, usable: bool = True) -> None:
+        """Give the connection back; an unusable one is closed."""
+        self.pool.release(self, usable)
+
+
+class ServerPool:
+    """Opens, keeps and hands out the connections to one server."""
+
+    def __init__(
+        self,
+        server: catalog.Server,
+        connector: ports.Connector,
+        clock: clocks.Clock,
+        limit: int,
+    ) -> None:
+        """Allow `limit` connections to `server`."""
+        self.server = server
+        self.avoid_until: float = 0
+        self._connector = connector
+        self._clock = clock
+        self._limit = limits.FixedLimit(limit)
+        self._queue = queue.AdmissionQueue(POLICIES, self._limit, seed=0)
+        self._idle: collections.deque[Pooled] = collections.deque()
+        self._waiters: dict[int | str, asyncio.Future] = {}
+        self._tickets = itertools.count()
+        self._failed_s = FAILED_S
+        self._log = lines.get('pool')
+        self._open = 0
+        self.opened_total = 0
+
+    @property
+    def limit(self) -> int:
+        """Connections that this daemon may have open."""
+        return self._limit.current
+
+    @property
+    def running(self) -> int:
+        """Connections in use."""
+        return self._queue.running
+
+    @property
+    def waiting(self) -> int:
+        """Statements that wait for a connection."""
+        return self._queue.waiting
+
+    def resize(self, limit: int) -> None:
+        """Change the number of connections that may be open."""
+        self._limit.resize(limit)
+        while self._idle and self._open > self.limit:
+            self._close(self._idle.popleft(), 'fewer connections allowed')
+
+    async def acquire(
+        self,
+        rank: ranks.Rank,
+        deadline: float,
+    ) -> result.Result[Lease, outcomes.NotRun]:
+        """Wait for a connection.
+
+        Args:
+            rank: Rank of the statement.
+            deadline: Time in seconds at which waiting is of no use.
+        """
+        now = self._clock.monotonic()
+        ticket = decisions.Ticket(next(self._tickets), rank, now, deadline)
+        match self._queue.offer(ticket, now):
+            case decisions.Refuse() as refusal:
+                return result.Err(_overload(refusal))
+            case decisions.Wait():
+                match await self._wait(ticket):
+                    case decisions.Refuse() as refusal:
+                        return result.Err(_overload(refusal))
+        return await self._connect(ticket)
+
+    def release(self, lease: Lease, usable: bool) -> None:
+        """Take a connection back."""
+        if usable and not lease.pooled.connection.closed:
+            self._failed_s = FAILED_S
+            self._keep(lease.pooled)
+        else:
+            self._close(lease.pooled, 'state unknown')
+        self._end(lease.ticket_id, lease.busy_ms, usable)
+
+    def on_failed(self) -> None:
+        """Avoid the server for a while, longer after each failure."""
+        self.avoid_until = self._clock.monotonic() + self._failed_s
+        self._failed_s = min(self._failed_s * 2, MAX_FAILED_S)
+
+    def on_full(self) -> None:
+        """Avoid the server for a moment."""
+        until = self._clock.monotonic() + FULL_S
+        self.avoid_until = max(self.avoid_until, until)
+
+    def close_idle(self) -> None:
+        """Close connections that ended or were idle for long."""
+        before = self._clock.monotonic() - IDLE_CLOSE_S
+        kept = [
+            pooled
+            for pooled in self._idle
+            if not pooled.connection.closed and pooled.idle_since > before
+        ]
+        for pooled in self._idle:
+            if pooled not in kept:
+                self._close(pooled, 'idle')
+        self._idle = collections.deque(kept)
+
+    def close(self) -> None:
+        """Close the idle connections; others are closed when released."""
+        self._limit.resize(1)
+        while self._idle:
+            self._close(self._idle.pop(), 'server gone')
+
+    async def _wait(
+        self,
+        ticket: decisions.Ticket,
+    ) -> decisions.Start | decisions.Refuse:
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[ticket.ticket_id] = future
+        try:
+            async with asyncio.timeout(ticket.deadline - ticket.arrived):
+                return await future
+        except TimeoutError:
+            self._queue.cancel(ticket.ticket_id)
+            return decisions.Refuse(
+                ticket.ticket_id,
+                outcomes.Reason.deadline,
+                0,
+            )
+        except asyncio.CancelledError:
+            self._abandon(ticket, future)
+            raise
+        finally:
+            self._waiters.pop(ticket.ticket_id, None)
+
+    def _abandon(self, ticket: decisions.Ticket, future: asyncio.Future) -> None:
+        started = future.done() and not future.cancelled()
+        if started and isinstance(future.result(), decisions.Start):
+            self._end(ticket.ticket_id, 0, ok=True)
+        else:
+            self._queue.cancel(ticket.ticket_id)
+
+    async def _connect(
+        self,
+        ticket: decisions.Ticket,
+    ) -> result.Result[Lease, outcomes.NotRun]:
+        pooled = self._take_idle()
+        if pooled is None:
+            try:
+                opened = await self._open_one()
+            except asyncio.CancelledError:
+                self._end(ticket.ticket_id, 0, ok=False)
+                raise
+            match opened:
+                case result.Err(problem):
+                    self._end(ticket.ticket_id, 0, ok=False)
+                    return result.Err(_unreachable(problem))
+                case result.Ok(fresh):
+                    pooled = fresh
+        now = self._clock.monotonic()
+        return result.Ok(Lease(self, pooled, ticket.ticket_id, now))
+
+    def _take_idle(self) -> Pooled | None:
+        while self._idle:
+            pooled = self._idle.pop()
+            if not pooled.connection.closed:
+                return pooled
+            self._close(pooled, 'ended')
+        return None
+
+    async def _open_one(
+        self,
+    ) -> result.Result[Pooled, commands.ConnectProblem]:
+        self._open += 1
+        self.opened_total += 1
+        try:
+            opened = await self._connector.open(self.server, OPEN_TIMEOUT_S)
+        except asyncio.CancelledError:
+            self._open -= 1
+            raise
+        match opened:
+            case result.Ok(connection):
+                return result.Ok(Pooled(connection))
+            case result.Err(problem):
+                self._open -= 1
+                self.on_failed()
+                self._log.warn(
+                    'connection not opened',
+                    server=self.server.server_id,
+                    problem=problem.value,
+                    open=self._open,
+                    limit=self.limit,
+                )
+                return result.Err(problem)
+
+    def _keep(self, pooled: Pooled) -> None:
+        if self._open > self.limit:
+            self._close(pooled, 'fewer connections allowed')
+            return
+        pooled.idle_since = self._clock.monotonic()
+        self._idle.append(pooled)
+
+    def _close(self, pooled: Pooled, reason: str) -> None:
+        self._open -= 1
+        pooled.connection.close(reason)
+
+    def _end(self, ticket_id: int, busy_ms: float, ok: bool) -> None:
+        now = self._clock.monotonic()
+        for decision in self._queue.release(ticket_id, now, busy_ms, ok):
+            future = self._waiters.pop(decision.ticket_id, None)
+            if future is not None and not future.done():
+                future.set_result(decision)
+            elif isinstance(decision, decisions.Start):
+                self._end(decision.ticket_id, 0, ok=True)
+
+
+def _overload(refusal: decisions.Refuse) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.overload,
+        'all connections are in use',
+        refusal.retry_after_ms,
+    )
+
+
+def _unreachable(problem: commands.ConnectProblem) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.connections,
+        'no connection to the backend server: {0}'.format(problem.value),
+        retry_after_ms=round(FAILED_S * 1000),
+    )
--- /dev/null
+++ b/celeryrelay/gateway/ports.py
@@ -0,0 +1,165 @@
+"""Ports of the daemon; `celeryrelay.platform` implements them."""
+
+import asyncio
+import typing
+from collections import abc
+
+import result
+
+from celeryrelay.core import outcomes, positions
+from celeryrelay.gateway import catalog, commands
+from celeryrelay.sessions import statements
+
+
+class Connection(typing.Protocol):
+    """An open connection to a backend server."""
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+
+    @property
+    def first_position(self) -> positions.Position | None:
+        """Position that the server answered when the connection opened."""
+
+    def send(
+        self,
+        batch: abc.Sequence[commands.Command],
+    ) -> list[asyncio.Future[commands.Reply | commands.Lost]]:
+        """Send commands in one write and return a future for each reply."""
+
+    def close(self, reason: str) -> None:
+        """End the connection; waiting commands are answered `Lost`."""
+
+
+class Connector(typing.Protocol):
+    """Opens connections to backend servers."""
+
+    async def open(
+        self,
+        server: catalog.Server,
+        timeout_s: float,
+    ) -> result.Result[Connection, commands.ConnectProblem]:
+        """Connect to `server` and check that it is the one expected."""
+
+    def status(self, reply: commands.Reply) -> commands.Status | None:
+        """Return the status in a reply to `AskStatus`, None if unreadable."""
+
+
+class StoreProblem(typing.NamedTuple):
+    """A call to the store that gave no usable answer.
+
+    Attributes:
+        message: What happened.
+        unknown: Whether a change may have been made, or may be made later.
+    """
+
+    message: str
+    unknown: bool = False
+
+
+class Store(typing.Protocol):
+    """The platform's store."""
+
+    async def register(
+        self,
+        member: catalog.Member,
+        ttl_ms: int,
+    ) -> result.Result[int, StoreProblem]:
+        """Register a daemon under a new lease and return the lease's id."""
+
+    async def renew(self, lease: int) -> result.Result[bool, StoreProblem]:
+        """Renew a lease; False if it has ended."""
+
+    async def release(self, lease: int) -> result.Result[None, StoreProblem]:
+        """End a lease and remove what was registered under it."""
+
+    async def take_office(
+        self,
+        office: catalog.Office,
+        known_revision: int,
+    ) -> result.Result[int | None, StoreProblem]:
+        """Write `office` if its revision is still `known_revision`.
+
+        Returns:
+            The revision of the write, None if another write came first.
+        """
+
+    async def read_office(
+        self,
+        group: str,
+    ) -> result.Result[catalog.Office | None, StoreProblem]:
+        """Return the newest office of a group."""
+
+    async def complain(
+        self,
+        complaint: catalog.Complaint,
+        lease: int,
+    ) -> result.Result[None, StoreProblem]:
+        """Write a complaint that ends with the daemon's lease."""
+
+    async def withdraw(
+        self,
+        complaint: catalog.Complaint,
+    ) -> result.Result[None, StoreProblem]:
+        """Remove a complaint."""
+
+
+class OrderOutcome(typing.NamedTuple):
+    """Answer to a promotion order.
+
+    Attributes:
+        accepted: Whether the order is carried out.
+        refused: Whether it was refused for its fencing token or its target.
+        message: What was answered.
+    """
+
+    accepted: bool
+    refused: bool
+    message: str
+
+
+class Orders(typing.Protocol):
+    """Takes promotion orders."""
+
+    async def promote(
+        self,
+        group: str,
+        server_id: str,
+        office: catalog.Office,
+    ) -> OrderOutcome:
+        """Order that `server_id` becomes the primary of `group`."""
+
+
+Answer = commands.Reply | outcomes.NotRun | outcomes.OutcomeUnknown
+
+
+class Caller(typing.Protocol):
+    """The connection to a caller."""
+
+    def answer(
+        self,
+        answer: Answer | None,
+        state: str,
+        position: positions.Position | None,
+    ) -> None:
+        """Send an answer; None for a success of the daemon itself.
+
+        Args:
+            answer: What the caller gets.
+            state: `idle`, `open` or `failed` transaction.
+            position: Log position of the session's database.
+        """
+
+    def close(self) -> None:
+        """End the connection after what was sent."""
+
+
+class SessionPort(typing.Protocol):
+    """A caller's session, as seen by its connection."""
+
+    def on_request(self, request: statements.Request) -> None:
+        """Take a statement of the caller."""
+
+    def on_lost(self) -> None:
+        """Note that the caller's connection has ended."""
--- /dev/null
+++ b/celeryrelay/gateway/reads.py
@@ -0,0 +1,432 @@
+"""Reads outside of a transaction."""
+
+import asyncio
+import dataclasses
+import enum
+
+import result
+
+from celeryrelay.adapters import lines
+from celeryrelay.admission import budget
+from celeryrelay.core import outcomes, positions
+from celeryrelay.gateway import (
+    catalog,
+    commands,
+    exchange,
+    pool,
+    ports,
+    services,
+    session_state,
+)
+from celeryrelay.routing import placement
+from celeryrelay.sessions import samples, statements
+
+# Time after which a read that has no answer is sent to another server too.
+HEDGE_S = 0.25
+LAGGING_S = 0.1
+
+
+class _Step(enum.Enum):
+    answered = 'answered'
+    elsewhere = 'elsewhere'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """Result of a read at one server."""
+
+    step: _Step
+    answer: ports.Answer
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far an attempt has come."""
+
+    sent: bool = False
+
+
+def read_bound(
+    context: session_state.Context,
+    known: samples.PrimarySamples,
+) -> positions.Position | None:
+    """Return the position that a replica has to hold for a read.
+
+    None means that no sample is young enough. The age counts from the start
+    of the transaction or of the statement.
+    """
+    not_before = context.begun_at - context.route.max_age_ms / 1000
+    bound = known.bound(not_before)
+    if bound is None or context.route.kind is not catalog.ReadKind.session:
+        return bound
+    seen = context.state.seen.bound(context.route.group)
+    # A promotion may have removed the end of an older term. What is left of
+    # it is below every position of the new one.
+    if seen is None or seen.term < bound.term:
+        return bound
+    return seen if samples.is_later(seen, bound) else bound
+
+
+class Reader:
+    """Runs reads where the route permits it, and elsewhere if that fails."""
+
+    def __init__(self, shared: services.Services) -> None:
+        """Use the servers and samples of `shared`."""
+        self._shared = shared
+        self._hedges = budget.RetryBudget()
+        self._left: set[asyncio.Task] = set()
+        self._log = lines.get('read')
+
+    async def run(
+        self,
+        context: session_state.Context,
+        statement: statements.Runnable,
+    ) -> ports.Answer:
+        """Run a read and return what its caller gets."""
+        if context.route.kind is catalog.ReadKind.primary:
+            return await self.run_on_primary(context, statement)
+        bound = await self.bound(context)
+        if bound is None:
+            return _no_sample(context)
+        self._hedges.on_request()
+        answer = await self._run_on_any(context, statement, bound)
+        if isinstance(answer, outcomes.NotRun):
+            # The primary itself is never too old.
+            return await self.run_on_primary(context, statement)
+        return answer
+
+    async def bound(
+        self,
+        context: session_state.Context,
+    ) -> positions.Position | None:
+        """Return the bound of a read, after a question if none is known."""
+        known = self._shared.primaries.samples[context.route.group]
+        found = read_bound(context, known)
+        if found is not None:
+            return found
+        await self._shared.primaries.refresh(
+            context.route.group,
+            context.place_deadline,
+        )
+        return read_bound(context, known)
+
+    def choose(
+        self,
+        context: session_state.Context,
+        tried: set[str],
+    ) -> catalog.Server | None:
+        """Return the server for a read, None if all were tried."""
+        candidates = [
+            self._candidate(known.server)
+            for known in self._shared.directory.servers(context.route.group)
+            if self._shared.directory.takes_reads(known)
+            and known.server.server_id not in tried
+        ]
+        chosen = placement.choose(candidates)
+        if chosen is None:
+            return None
+        known = self._shared.directory.known(chosen.server_id)
+        return known.server if known else None
+
+    async def run_on_primary(
+        self,
+        context: session_state.Context,
+        statement: statements.Runnable,
+    ) -> ports.Answer:
+        """Run a read in a transaction that only the primary opens."""
+        refusal = no_primary(context)
+        while True:
+            server = await self._shared.primaries.find(
+                context.route.group,
+                context.place_deadline,
+            )
+            if server is None:
+                return refusal
+            attempt = await self._try_primary(context, statement, server)
+            if attempt.step is _Step.answered:
+                return attempt.answer
+            refusal = attempt.answer
+            if self._shared.clock.monotonic() >= context.place_deadline:
+                return refusal
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _run_on_any(
+        self,
+        context: session_state.Context,
+        statement: statements.Runnable,
+        bound: positions.Position,
+    ) -> ports.Answer:
+        tried: set[str] = set()
+        running: dict[asyncio.Task, _Progress] = {}
+        answer: ports.Answer = _no_server(context)
+        may_add = True
+        while True:
+            server = self.choose(context, tried) if may_add else None
+            if server is not None:
+                tried.add(server.server_id)
+                progress = _Progress()
+                attempt = self._try(context, statement, bound, server, progress)
+                running[asyncio.create_task(attempt)] = progress
+            if not running:
+                return answer
+            done, _ = await asyncio.wait(
+                running,
+                timeout=HEDGE_S if self._hedges.available else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                running.pop(task)
+                answer = task.result().answer
+                if task.result().step is _Step.answered:
+                    self._leave(running)
+                    return answer
+            may_add = bool(done) or self._hedges.take()
+
+    def _leave(self, running: dict[asyncio.Task, _Progress]) -> None:
+        """Let attempts that were sent end by themselves; cancel the others."""
+        for task, progress in running.items():
+            if progress.sent:
+                self._left.add(task)
+                task.add_done_callback(self._left.discard)
+            else:
+                task.cancel()
+
+    async def _try(
+        self,
+        context: session_state.Context,
+        statement: statements.Runnable,
+        bound: positions.Position,
+        server: catalog.Server,
+        progress: '_Progress',
+    ) -> _Attempt:
+        server_pool = self._shared.pools.get(server)
+        acquired = await server_pool.acquire(
+            context.route.rank,
+            context.place_deadline,
+        )
+        match acquired:
+            case result.Err(refusal):
+                self._note(context, server, refusal.reason.value)
+                return _Attempt(_Step.elsewhere, refusal)
+        lease = acquired.ok_value
+        batch = exchange.run_commands(lease.pooled, context, statement, bound)
+        future = lease.send(batch)[-1]
+        progress.sent = True
+        reply = await exchange.reply_of(
+            lease,
+            future,
+            context.timeout_s,
+            self._shared.clock,
+        )
+        self._shared.pools.expected[server.server_id].on_sample(
+            lease.busy_ms,
+            self._shared.clock.monotonic(),
+        )
+        exchange.release(lease, reply)
+        return self._judge(context, server, reply)
+
+    def _judge(
+        self,
+        context: session_state.Context,
+        server: catalog.Server,
+        reply: exchange.Outcome,
+    ) -> _Attempt:
+        server_pool = self._shared.pools.get(server)
+        match reply:
+            case commands.Reply(error=None):
+                return _Attempt(_Step.answered, reply)
+            case commands.Reply(error=commands.ErrorKind.lagging):
+                server_pool.on_full()
+                self._note(context, server, 'lagging')
+                return _Attempt(_Step.elsewhere, lagging(context))
+            case commands.Reply(error=error) if error.not_run:
+                server_pool.on_full()
+                self._note(context, server, error.value)
+                return _Attempt(_Step.elsewhere, reply_refusal(error))
+            case commands.Reply():
+                return _Attempt(_Step.answered, reply)
+            case commands.Lost(problem):
+                server_pool.on_failed()
+                self._note(context, server, problem)
+                # A read has no effect, so another server may run it.
+                return _Attempt(_Step.elsewhere, _no_server(context))
+            case exchange.Late():
+                server_pool.on_failed()
+                return _Attempt(_Step.answered, late())
+
+    async def _try_primary(
+        self,
+        context: session_state.Context,
+        statement: statements.Runnable,
+        server: catalog.Server,
+    ) -> _Attempt:
+        opened = await open_on_primary(self._shared, context, server)
+        match opened:
+            case result.Err(refusal):
+                self._note(context, server, refusal.reason.value)
+                return _Attempt(_Step.elsewhere, refusal)
+        lease = opened.ok_value
+        batch = exchange.run_commands(
+            lease.pooled,
+            context,
+            statement,
+            in_transaction=True,
+        )
+        *_, future, _ = lease.send([*batch, commands.Rollback()])
+        reply = await exchange.reply_of(
+            lease,
+            future,
+            context.timeout_s,
+            self._shared.clock,
+        )
+        exchange.release(lease, reply)
+        if not isinstance(reply, commands.Reply):
+            self._shared.primaries.on_failed(server)
+        elif reply.error is commands.ErrorKind.not_primary:
+            self._shared.primaries.on_denied(server)
+        return self._judge(context, server, reply)
+
+    def _candidate(self, server: catalog.Server) -> placement.Candidate:
+        shared = self._shared
+        now = shared.clock.monotonic()
+        server_pool = shared.pools.get(server)
+        zone = shared.options.availability_zone
+        region = shared.options.region
+        leader = shared.directory.leader(server.group)
+        return placement.Candidate(
+            server_id=server.server_id,
+            same_zone=server.availability_zone == zone,
+            same_region=region(server.availability_zone) == region(zone),
+            is_primary=leader.server_id == server.server_id,
+            expected_ms=shared.pools.expected[server.server_id].expected_ms(now),
+            waiting=server_pool.waiting,
+            limit=server_pool.limit,
+            running=server_pool.running,
+            avoided=now < server_pool.avoid_until,
+        )
+
+    def _note(
+        self,
+        context: session_state.Context,
+        server: catalog.Server,
+        problem: str,
+    ) -> None:
+        self._shared.metrics.event('read_retried')
+        self._log.info(
+            'read goes elsewhere',
+            request=context.request_id,
+            group=context.route.group,
+            server=server.server_id,
+            problem=problem,
+        )
+
+
+# Pause before a statement of the primary is tried again.
+RETRY_PAUSE_S = 0.03
+
+
+async def open_on_primary(
+    shared: services.Services,
+    context: session_state.Context,
+    server: catalog.Server,
+) -> result.Result[pool.Lease, outcomes.NotRun]:
+    """Open a transaction on the primary and wait for its permission.
+
+    The answer proves that the server leads. A later statement of the
+    transaction fails if it has lost the lead since, so no statement is sent
+    before: outside of the transaction, a deposed primary would run it.
+    """
+    acquired = await shared.pools.get(server).acquire(
+        context.route.rank,
+        context.place_deadline,
+    )
+    match acquired:
+        case result.Err(refusal):
+            if refusal.reason is outcomes.Reason.connections:
+                shared.primaries.on_failed(server)
+            return acquired
+    lease = acquired.ok_value
+    sent_at = shared.clock.monotonic()
+    prepared = lease.pooled.align(context.state.variables, None)
+    *_, future = lease.send([*prepared, commands.Begin()])
+    shared.primaries.expect(server, future)
+    reply = await exchange.reply_of(
+        lease,
+        future,
+        context.timeout_s,
+        shared.clock,
+    )
+    match reply:
+        case commands.Reply(error=None):
+            shared.primaries.on_proved(server, sent_at, reply.position)
+            return result.Ok(lease)
+        case commands.Reply(error=error):
+            lease.release()
+            if error is commands.ErrorKind.not_primary:
+                shared.primaries.on_denied(server)
+            return result.Err(reply_refusal(error))
+    lease.release(usable=False)
+    shared.primaries.on_failed(server)
+    return result.Err(
+        outcomes.NotRun(
+            outcomes.Reason.no_primary,
+            'the primary did not answer',
+        ),
+    )
+
+
+def lagging(context: session_state.Context) -> outcomes.NotRun:
+    """Return the refusal of a read that no replica is young enough for."""
+    return outcomes.NotRun(
+        outcomes.Reason.lagging,
+        'no server has data younger than {0:.0f} ms'.format(
+            context.route.max_age_ms,
+        ),
+    )
+
+
+def reply_refusal(error: commands.ErrorKind) -> outcomes.NotRun:
+    """Return the refusal for an error of a server that ran nothing."""
+    reason = {
+        commands.ErrorKind.lagging: outcomes.Reason.lagging,
+        commands.ErrorKind.not_primary: outcomes.Reason.no_primary,
+    }.get(error, outcomes.Reason.overload)
+    return outcomes.NotRun(
+        reason,
+        'the backend server refused: {0}'.format(error.value),
+    )
+
+
+def no_primary(context: session_state.Context) -> outcomes.NotRun:
+    """Return the refusal while a group has no primary."""
+    return outcomes.NotRun(
+        outcomes.Reason.no_primary,
+        'no primary answers',
+        retry_after_ms=500,
+    )
+
+
+def late() -> outcomes.OutcomeUnknown:
+    """Return the outcome of a statement that exceeded its timeout."""
+    return outcomes.OutcomeUnknown(
+        outcomes.Reason.deadline,
+        'no answer within the timeout of the route',
+    )
+
+
+def _no_sample(context: session_state.Context) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.lagging,
+        'the position of the primary is older than {0:.0f} ms'.format(
+            context.route.max_age_ms,
+        ),
+        retry_after_ms=500,
+    )
+
+
+def _no_server(context: session_state.Context) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.overload,
+        'no server can run the read',
+        retry_after_ms=100,
+    )
--- /dev/null
+++ b/celeryrelay/management/commands/gateway.py
@@ -0,0 +1,64 @@
+"""Program `celeryrelay-gateway`, the daemon on the users' platform.
+
+Exit codes: 0 after a planned stop, 1 for wrong settings or an address that
+can't be listened on, 2 for wrong flags.
+"""
+
+import asyncio
+import sys
+import typing
+
+import result
+from absl import app, flags
+
+from celeryrelay.adapters import lines
+from celeryrelay.gateway import settings
+from celeryrelay.platform import boot, process
+
+EXIT_REFUSED = 1
+
+_SETTINGS = flags.DEFINE_string(
+    'settings',
+    None,
+    'Path of the settings file; by default the one that the platform names.',
+)
+_LOG_LEVEL = flags.DEFINE_enum(
+    'log_level',
+    'INFO',
+    ['DEBUG', 'INFO', 'WARNING', 'ERROR'],
+    'Least level of log lines; DEBUG has a line for each statement.',
+)
+
+
+def run() -> typing.NoReturn:
+    """Run the program."""
+    app.run(main)
+
+
+def main(_: typing.Sequence[str]) -> int:
+    """Start the daemon and wait for its end."""
+    path = _SETTINGS.value or boot.settings_path()
+    match boot.load(path):
+        case result.Ok(options):
+            return _serve(options, path)
+        case result.Err(message):
+            sys.stderr.write('{0}\n'.format(message))
+            return EXIT_REFUSED
+
+
+def _serve(options: settings.Settings, path: str) -> int:
+    lines.configure(_LOG_LEVEL.value)
+    try:
+        asyncio.run(_run(options, path))
+    except OSError as error:
+        sys.stderr.write('cannot start: {0}\n'.format(error))
+        return EXIT_REFUSED
+    return 0
+
+
+async def _run(options: settings.Settings, path: str) -> None:
+    await process.Process(options, path).run()
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/celeryrelay/membership/connections.py
@@ -0,0 +1,52 @@
+"""Share of a server's connections that each daemon may use."""
+
+# Connections that stay free for daemons that come or ask for a status.
+RESERVED = 1
+# A daemon that dies leaves connections that the server drops after 3 s.
+DEAD_CONNECTIONS_S = 3.5
+
+
+def share(connection_limit: int, members: int) -> int:
+    """Return the connections to one server that a daemon may have open.
+
+    Args:
+        connection_limit: Connections that the server accepts in all.
+        members: Daemons that may be running.
+    """
+    return max((connection_limit - RESERVED) // max(members, 1), 1)
+
+
+class MemberCount:
+    """Number of daemons by which connections are divided.
+
+    It grows as soon as a daemon appears and shrinks only when the connections
+    of a dead one are gone.
+    """
+
+    def __init__(self) -> None:
+        """Start without members."""
+        self._members: set[str] = set()
+        self._left: dict[str, float] = {}
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of the registered daemons."""
+        return frozenset(self._members)
+
+    def on_seen(self, name: str) -> None:
+        """Note that a daemon is registered."""
+        self._members.add(name)
+        self._left.pop(name, None)
+
+    def on_removed(self, name: str, now: float) -> None:
+        """Note that the registration of a daemon ended."""
+        if name in self._members:
+            self._members.discard(name)
+            self._left[name] = now
+
+    def counted(self, now: float) -> int:
+        """Return the number of daemons that may have connections."""
+        for name, left_at in tuple(self._left.items()):
+            if now - left_at > DEAD_CONNECTIONS_S:
+                self._left.pop(name)
+        return len(self._members) + len(self._left)
--- /dev/null
+++ b/celeryrelay/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/celeryrelay/platform/boot.py
@@ -0,0 +1,101 @@
+"""Settings file of the platform: lines of `name=value`."""
+
+import os
+import pathlib
+
+import result
+
+from celeryrelay.gateway import settings
+
+PATH_VARIABLE = 'CELERYRELAY_BOOT'
+DEFAULT_PATH = '/etc/celeryrelay/boot.conf'
+REQUIRED = (
+    'node',
+    'zone',
+    'ip',
+    'listen.front',
+    'listen.ready',
+    'internal_ports',
+    'platform.addr',
+    'cloud.addr',
+)
+_ZONE_PREFIX = 'zones.'
+
+
+def settings_path() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def load(path: str) -> result.Result[settings.Settings, str]:
+    """Return the settings of the file at `path`.
+
+    Errors name the file, the field and what is wrong with it.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err('{0}: cannot be read: {1}'.format(path, error))
+    fields = _fields(text)
+    missing = [name for name in REQUIRED if not fields.get(name)]
+    if missing:
+        return result.Err(
+            '{0}: required fields are missing: {1}'.format(
+                path,
+                ', '.join(missing),
+            ),
+        )
+    try:
+        return result.Ok(_settings(fields))
+    except ValueError as error:
+        return result.Err('{0}: {1}'.format(path, error))
+
+
+def _fields(text: str) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        name, separator, value = line.strip().partition('=')
+        if separator and not name.startswith('#'):
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def _settings(fields: dict[str, str]) -> settings.Settings:
+    first_port, _, _ = fields['internal_ports'].partition(',')
+    return settings.Settings(
+        instance=fields['node'],
+        availability_zone=fields['zone'],
+        regions={
+            name.removeprefix(_ZONE_PREFIX): region
+            for name, region in fields.items()
+            if name.startswith(_ZONE_PREFIX)
+        },
+        caller_address=_address(fields, 'listen.front'),
+        probe_address=_address(fields, 'listen.ready'),
+        metrics_address='{0}:{1}'.format(
+            fields['ip'],
+            _number('internal_ports', first_port),
+        ),
+        store_address=_address(fields, 'platform.addr'),
+        orders_address=_address(fields, 'cloud.addr'),
+        stop_grace_s=_number('bounds.grace_s', fields.get('bounds.grace_s', 6)),
+    )
+
+
+def _address(fields: dict[str, str], name: str) -> str:
+    host, _, port = fields[name].rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError(
+            '{0}: given {1!r}; allowed is host:port'.format(name, fields[name]),
+        )
+    return fields[name]
+
+
+def _number(name: str, given: str | float) -> float:
+    try:
+        number = float(given)
+    except ValueError:
+        raise ValueError(
+            '{0}: given {1!r}; allowed is a number'.format(name, given),
+        ) from None
+    return int(number) if number.is_integer() else number
--- /dev/null
+++ b/celeryrelay/platform/callers.py
@@ -0,0 +1,144 @@
+"""Connections of callers."""
+
+import asyncio
+import enum
+import typing
+
+import result
+
+from celeryrelay.core import outcomes, positions
+from celeryrelay.gateway import commands, ports
+from celeryrelay.platform import sockets, wire
+from celeryrelay.sessions import statements
+
+_STATES = {'idle': 'I', 'open': 'T', 'failed': 'E'}
+
+
+class Opener(typing.Protocol):
+    """Opens a session for a caller's connection."""
+
+    def open(
+        self,
+        caller: ports.Caller,
+        database: str,
+    ) -> ports.SessionPort | outcomes.NotRun:
+        """Return the session, or why there is none."""
+
+
+class _Phase(enum.Enum):
+    new = 'new'
+    open = 'open'
+    closed = 'closed'
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection; answers keep the order of the statements."""
+
+    def __init__(self, opener: Opener) -> None:
+        """Prepare a connection whose session `opener` opens."""
+        self._opener = opener
+        self._splitter = wire.LineSplitter()
+        self._transport: asyncio.Transport | None = None
+        self._session: ports.SessionPort | None = None
+        self._phase = _Phase.new
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        sockets.detect_silence(transport)
+
+    def data_received(self, received: bytes) -> None:
+        """Handle the messages that have come."""
+        match self._splitter.feed(received):
+            case result.Ok(lines):
+                for line in lines:
+                    self._on_message(wire.parse_caller(line))
+            case result.Err(problem):
+                self._refuse(_malformed(problem))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the session."""
+        self._phase = _Phase.closed
+        if self._session is not None:
+            self._session.on_lost()
+
+    def pause_writing(self) -> None:
+        """Stop reading statements of a caller that does not read answers."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read statements again."""
+        if self._transport is not None and self._phase is not _Phase.closed:
+            self._transport.resume_reading()
+
+    def answer(
+        self,
+        answer: ports.Answer | None,
+        state: str,
+        position: positions.Position | None,
+    ) -> None:
+        """Send an answer; None for a success of the daemon itself."""
+        match answer:
+            case None:
+                content = b'DONE -\r\n'
+            case commands.Reply():
+                content = answer.payload
+            case outcomes.NotRun() | outcomes.OutcomeUnknown():
+                content = wire.format_refusal(answer)
+        self._write(content + wire.format_ready(_STATES[state], position))
+
+    def close(self) -> None:
+        """End the connection after what was sent."""
+        self._phase = _Phase.closed
+        if self._transport is not None:
+            self._transport.close()
+
+    def _on_message(self, message: wire.CallerMessage) -> None:
+        match (message, self._phase):
+            case (_, _Phase.closed):
+                return
+            case (wire.SessionEnd(), _):
+                self.close()
+            case (wire.BadMessage(problem), _):
+                self._refuse(_malformed(problem))
+            case (wire.SessionStart(database), _Phase.new):
+                self._open(database)
+            case (statements.Request(), _Phase.open):
+                self._session.on_request(message)
+            case _:
+                self._refuse(_malformed('message out of order'))
+
+    def _open(self, database: str) -> None:
+        match self._opener.open(self, database):
+            case outcomes.NotRun() as refusal:
+                self._refuse(refusal)
+            case session:
+                self._session = session
+                self._phase = _Phase.open
+                self._write(wire.format_ready('I', None))
+
+    def _refuse(self, refusal: outcomes.NotRun) -> None:
+        self._write(wire.format_refusal(refusal))
+        self.close()
+
+    def _write(self, content: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(content)
+
+
+def _malformed(problem: str) -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.Reason.malformed, problem)
+
+
+async def listen(opener: Opener, address: str) -> asyncio.Server:
+    """Accept callers at `address`, `host:port`."""
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: CallerConnection(opener),
+        host,
+        int(port),
+        backlog=1024,
+        reuse_address=True,
+    )
--- /dev/null
+++ b/celeryrelay/platform/feed.py
@@ -0,0 +1,139 @@
+"""Feed of the store's items: one watch for all that a daemon follows."""
+
+import asyncio
+import enum
+import random
+import typing
+from collections import abc
+
+import result
+
+from celeryrelay.adapters import lines
+from celeryrelay.gateway import catalog, ports
+from celeryrelay.platform import documents, store
+
+RETRY_S = 0.1
+MAX_RETRY_S = 0.8
+
+
+class FeedState(enum.Enum):
+    """Whether what the daemon knows is current."""
+
+    unknown = 'unknown'
+    following = 'following'
+    lost = 'lost'
+
+
+class Follower(typing.Protocol):
+    """Takes what the feed reads."""
+
+    def on_snapshot(self, items: abc.Sequence[catalog.Change]) -> None:
+        """Take all items of the store; others no longer exist."""
+
+    def on_change(self, change: catalog.Change) -> None:
+        """Take one change."""
+
+    def on_store(self, reachable: bool) -> None:
+        """Note that the store answers, or does not."""
+
+
+class Feed:
+    """Task that reads the store once and then follows its events."""
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        follower: Follower,
+        wait_ms: int,
+    ) -> None:
+        """Pass what `client` reads to `follower`."""
+        self._client = client
+        self._follower = follower
+        self._wait_ms = wait_ms
+        self._log = lines.get('store')
+        self._revision = 0
+        self._state = FeedState.unknown
+        self._retry_s = RETRY_S
+
+    async def run(self) -> typing.NoReturn:
+        """Follow the store until cancelled."""
+        while True:
+            match await self._step():
+                case result.Ok(_):
+                    self._note_reachable()
+                case result.Err(problem):
+                    self._note_lost(problem)
+                    await asyncio.sleep(self._retry_s * random.uniform(0.5, 1))
+                    self._retry_s = min(self._retry_s * 2, MAX_RETRY_S)
+
+    async def _step(self) -> result.Result[None, ports.StoreProblem]:
+        if not self._revision:
+            return await self._read_all()
+        # After a loss a short wait shows soon whether the store is back.
+        short = self._state is FeedState.lost
+        match await self._client.watch(
+            self._revision,
+            1 if short else self._wait_ms,
+        ):
+            case result.Ok(store.HistoryGone(revision)):
+                self._log.info('history gone, reading all', revision=revision)
+                self._revision = 0
+            case result.Ok(store.Events(events, revision)):
+                for raw in events:
+                    for change in self._decode(raw):
+                        self._follower.on_change(change)
+                self._revision = max(self._revision, revision)
+            case result.Err(problem):
+                return result.Err(problem)
+        return result.Ok(None)
+
+    async def _read_all(self) -> result.Result[None, ports.StoreProblem]:
+        items: list[catalog.Change] = []
+        revision = 0
+        after = ''
+        while True:
+            match await self._client.read_all(after):
+                case result.Err(problem):
+                    return result.Err(problem)
+                case result.Ok(page):
+                    # Pages are no snapshot: events since the first one follow.
+                    revision = revision or page.store_revision
+                    for raw in page.items:
+                        items.extend(self._decode(raw))
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        self._follower.on_snapshot(items)
+        self._revision = revision
+        self._log.info('store read', items=len(items), revision=revision)
+        return result.Ok(None)
+
+    def _decode(self, raw: documents.RawItem) -> list[catalog.Change]:
+        match documents.decode_change(raw):
+            case result.Ok(None):
+                return []
+            case result.Ok(change):
+                return [change]
+            case result.Err(problem):
+                self._log.warn('unreadable item', problem=problem)
+        if raw.key.startswith(documents.SERVER_PREFIX):
+            name = raw.key.removeprefix(documents.SERVER_PREFIX)
+            return [catalog.Removed(catalog.Server, name, raw.mod_revision)]
+        return []
+
+    def _note_reachable(self) -> None:
+        self._retry_s = RETRY_S
+        if self._state is not FeedState.following:
+            self._state = FeedState.following
+            self._log.info('store reached', revision=self._revision)
+            self._follower.on_store(reachable=True)
+
+    def _note_lost(self, problem: ports.StoreProblem) -> None:
+        if self._state is FeedState.following:
+            self._log.warn(
+                'store lost',
+                problem=problem.message,
+                revision=self._revision,
+            )
+            self._follower.on_store(reachable=False)
+        self._state = FeedState.lost
--- /dev/null
+++ b/celeryrelay/platform/http1.py
@@ -0,0 +1,213 @@
+"""HTTP/1.1 over asyncio streams, with h11 as codec."""
+
+import asyncio
+import dataclasses
+import socket
+import typing
+from collections import abc
+
+import h11
+import result
+
+from celeryrelay.platform import sockets
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A complete response."""
+
+    status: int
+    body: bytes
+
+
+class Failure(typing.NamedTuple):
+    """A request that got no complete response.
+
+    Attributes:
+        message: What happened.
+        sent: Whether the other side may have received the request.
+    """
+
+    message: str
+    sent: bool
+
+
+class Channel:
+    """A kept connection that carries one request at a time."""
+
+    def __init__(self, address: str) -> None:
+        """Prepare a connection to `address`, `host:port`."""
+        self._address = address
+        self._lock = asyncio.Lock()
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._codec: h11.Connection | None = None
+
+    async def call(
+        self,
+        request: h11.Request,
+        body: bytes,
+        timeout_s: float,
+    ) -> result.Result[Response, Failure]:
+        """Send a request and return its response.
+
+        Args:
+            request: Method, target and headers; `Host` is added here.
+            body: Body of the request.
+            timeout_s: Time for connecting and for the response, in seconds.
+        """
+        sent = False
+        try:
+            async with asyncio.timeout(timeout_s), self._lock:
+                await self._connect()
+                sent = True
+                return result.Ok(await self._exchange(request, body))
+        except TimeoutError:
+            problem = 'no response within {0:.1f} s'.format(timeout_s)
+        except (OSError, h11.ProtocolError, EOFError) as error:
+            problem = '{0}: {1}'.format(type(error).__name__, error)
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        self.close()
+        return result.Err(Failure(problem, sent))
+
+    def close(self) -> None:
+        """End the connection; the next call opens another one."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._writer = None
+
+    async def _connect(self) -> None:
+        if self._writer is not None and not self._writer.is_closing():
+            if self._codec is not None and _is_reusable(self._codec):
+                return
+            self.close()
+        host, _, port = self._address.rpartition(':')
+        self._reader, self._writer = await asyncio.open_connection(
+            host,
+            int(port),
+            family=socket.AF_INET,
+        )
+        sockets.detect_silence(self._writer.transport)
+        self._codec = h11.Connection(h11.CLIENT)
+
+    async def _exchange(self, request: h11.Request, body: bytes) -> Response:
+        codec = self._codec
+        if codec.their_state is not h11.IDLE:
+            codec.start_next_cycle()
+        parts = [codec.send(request)]
+        if body:
+            parts.append(codec.send(h11.Data(data=body)))
+        parts.append(codec.send(h11.EndOfMessage()))
+        self._writer.write(b''.join(parts))
+        status = 0
+        received: list[bytes] = []
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Response():
+                    status = event.status_code
+                case h11.Data():
+                    received.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    return Response(status, b''.join(received))
+                case h11.ConnectionClosed():
+                    raise EOFError('connection closed')
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        event = self._codec.next_event()
+        while event is h11.NEED_DATA:
+            self._codec.receive_data(await self._reader.read(READ_BYTES))
+            event = self._codec.next_event()
+        return event
+
+
+def _is_reusable(codec: h11.Connection) -> bool:
+    idle = codec.our_state is h11.IDLE
+    done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
+    return idle or done
+
+
+def make_request(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: abc.Sequence[tuple[str, str]] = (),
+) -> h11.Request:
+    """Return a request with the headers that every call needs."""
+    fields = [('Host', address), ('Accept', 'application/json'), *headers]
+    if body or method == 'POST':
+        fields.append(('Content-Type', 'application/json'))
+        fields.append(('Content-Length', str(len(body))))
+    return h11.Request(method=method, target=target, headers=fields)
+
+
+Handler = abc.Callable[[str], tuple[int, str, bytes]]
+
+
+class PageServer:
+    """Answers GET requests with pages made by a function."""
+
+    def __init__(self, handler: Handler) -> None:
+        """Answer with what `handler` returns for the path.
+
+        Args:
+            handler: Returns status, content type and body.
+        """
+        self._handler = handler
+
+    async def listen(self, address: str) -> asyncio.Server:
+        """Accept connections at `address`, `host:port`."""
+        host, _, port = address.rpartition(':')
+        return await asyncio.start_server(
+            self._serve,
+            host,
+            int(port),
+            reuse_address=True,
+        )
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        codec = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(codec, reader, writer):
+                codec.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            # The prober sees the connection end and asks again.
+            writer.transport.abort()
+            return
+        writer.close()
+
+    async def _serve_one(
+        self,
+        codec: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        target = ''
+        event = codec.next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            match event:
+                case h11.Request():
+                    target = event.target.decode('ascii')
+                case h11.ConnectionClosed():
+                    return False
+            if event is h11.NEED_DATA:
+                codec.receive_data(await reader.read(READ_BYTES))
+            event = codec.next_event()
+        status, content_type, body = self._handler(target)
+        headers = [
+            ('Content-Type', content_type),
+            ('Content-Length', str(len(body))),
+        ]
+        head = codec.send(h11.Response(status_code=status, headers=headers))
+        tail = codec.send(h11.Data(data=body)) if body else b''
+        writer.write(head + tail + codec.send(h11.EndOfMessage()))
+        return codec.our_state is h11.DONE
