Stop listening before the exit; check complaints without own traffic; divide connections among daemons not known yet

A daemon without own traffic had no evidence about a primary that others complained of, so a dead primary whose registration stood was not replaced (stand-in test). A daemon that starts together with others took all connections; a full server counted as a dead primary. Ruled out: the session's idle check (it held).

--- a/celeryrelay/adapters/lines.py
+++ b/celeryrelay/adapters/lines.py
@@ -13,6 +13,8 @@
 # is counted and reported in one line.
 LINES_PER_S = 120
 BURST_LINES = 600
+# Lines of the burst that are kept for more than routine.
+ROUTINE_RESERVE_LINES = 300
 # Bytes that wait for a slow reader of standard output.
 MAX_PENDING_BYTES = 256 * 1024
 
@@ -58,12 +60,14 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write a record, or count it as dropped."""
-        routine = record.level <= logbook.DEBUG
-        now = time.monotonic()
-        if not self.budget.take(now, BURST_LINES / 2 if routine else 0):
+        reserve = 0
+        if record.level <= logbook.DEBUG:
+            reserve = ROUTINE_RESERVE_LINES
+        if not self.budget.take(time.monotonic(), reserve):
             return
-        if self.budget.dropped:
-            dropped, self.budget.dropped = self.budget.dropped, 0
+        dropped = self.budget.dropped
+        if dropped:
+            self.budget.dropped = 0
             self._write(_encode({'event': 'lines dropped', 'count': dropped}))
         self._write(_encode(_fields(record)))
 
@@ -98,7 +102,11 @@
 
 
 def _encode(fields: dict[str, typing.Any]) -> bytes:
-    return orjson.dumps(fields, default=str) + b'\n'
+    return orjson.dumps(
+        fields,
+        default=str,
+        option=orjson.OPT_APPEND_NEWLINE,
+    )
 
 
 def configure(level: str) -> None:
--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -32,6 +32,8 @@
 TRANSACTION_PART = 0.5
 EXIT_RESERVE_S = 0.6
 STOP_TICK_S = 0.03
+# Time for telling the store at the end; the lease ends by itself as well.
+LEAVE_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,18 +110,24 @@
             task.add_done_callback(self._on_task_ended)
             self._tasks.append(task)
 
-    async def stop(self) -> None:
-        """Leave without interrupting a statement."""
+    async def stop(self, stop_listening: abc.Callable[[], None]) -> None:
+        """Leave without interrupting a statement.
+
+        Args:
+            stop_listening: Called once no new callers are expected. Sessions
+                that open later would end with the process.
+        """
         self.stopping = True
         begun = self._clock.monotonic()
         self._log.info('stop', sessions=len(self.sessions))
+        await asyncio.sleep(OUT_OF_ROTATION_S)
+        stop_listening()
         aborted = False
-        while self.sessions or self._age(begun) < OUT_OF_ROTATION_S:
+        while self.sessions:
             age_s = self._age(begun)
             if age_s >= self._options.stop_grace_s - EXIT_RESERVE_S:
                 break
-            if age_s >= OUT_OF_ROTATION_S:
-                self.sessions.close_idle()
+            self.sessions.close_idle()
             half = self._options.stop_grace_s * TRANSACTION_PART
             if age_s >= half and not aborted:
                 aborted = True
@@ -257,10 +265,18 @@
             task.remove_done_callback(self._on_task_ended)
             task.cancel()
         self.shared.primaries.stop()
-        if self._lease:
-            match await self._adapters.store.release(self._lease):
-                case result.Err(problem):
-                    self._log.info('lease not ended', problem=problem.message)
+        try:
+            async with asyncio.timeout(LEAVE_S):
+                await self._end_lease()
+        except TimeoutError:
+            self._log.info('lease not ended', problem='no answer in time')
+
+    async def _end_lease(self) -> None:
+        if not self._lease:
+            return
+        match await self._adapters.store.release(self._lease):
+            case result.Err(problem):
+                self._log.info('lease not ended', problem=problem.message)
 
     def _on_task_ended(self, task: asyncio.Task) -> None:
         """Stop the process if a task ends: its invariant is broken."""
--- a/celeryrelay/gateway/directory.py
+++ b/celeryrelay/gateway/directory.py
@@ -88,9 +88,9 @@
 
     def on_snapshot(self, items: abc.Sequence[catalog.Change]) -> None:
         """Take all items of the store; others no longer exist."""
+        listed = {_key(listed_item) for listed_item in items}
         for item in items:
             self.on_change(item)
-        listed = {_key(item) for item in items}
         for removed in self._unlisted(listed):
             self.on_change(removed)
 
@@ -109,12 +109,8 @@
                 self.complaints[key] = change
             case catalog.Office():
                 self._on_office(change, now)
-            case catalog.Removed(catalog.Server, name):
-                self._on_server_removed(name, now)
-            case catalog.Removed(catalog.Member, name):
-                self.members.on_removed(name, now)
-            case catalog.Removed(catalog.Complaint, name):
-                self.complaints.pop(name, None)
+            case catalog.Removed():
+                self._on_removed(change, now)
 
     def forget_gone(self) -> list[str]:
         """Drop the servers that are gone and return their ids."""
@@ -149,6 +145,14 @@
                 now,
             )
 
+    def _on_removed(self, removed: catalog.Removed, now: float) -> None:
+        if removed.kind is catalog.Server:
+            self._on_server_removed(removed.name, now)
+        elif removed.kind is catalog.Member:
+            self.members.on_removed(removed.name, now)
+        else:
+            self.complaints.pop(removed.name, None)
+
     def _on_server_removed(self, server_id: str, now: float) -> None:
         known = self._servers.get(server_id)
         if known is not None and known.gone_since is None:
--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -8,13 +8,15 @@
 
 from celeryrelay.adapters import lines
 from celeryrelay.core import ranks, rendezvous
-from celeryrelay.gateway import catalog, commands, directory, ports, services
+from celeryrelay.gateway import catalog, commands, ports, services
 from celeryrelay.terms import replacement
 
 TICK_S = 0.1
 STATUS_TIMEOUT_S = 0.35
 CATCH_UP_S = 0.4
 CATCH_UP_PAUSE_S = 0.03
+# Age of the last proof after which a complaint of another daemon is checked.
+CHECK_S = 0.3
 # Time for which a server that could not be promoted is left out.
 UNFIT_S = 3.0
 
@@ -90,17 +92,19 @@
 
     async def _review(self, group: catalog.Group) -> None:
         facts = self.facts(group.name)
+        self._check_complaints(group.name, facts)
         await self._share_evidence(group.name, facts)
         decision = replacement.decide(facts)
         if decision is replacement.Decision.wait:
             return
         if not self._shared.directory.servers(group.name):
             return
+        leader = self._shared.directory.leader(group.name)
         self._log.warn(
             'primary is replaced',
             group=group.name,
             decision=decision.value,
-            server=self._shared.directory.leader(group.name).server_id,
+            server=leader.server_id,
             failing_s=facts.failing_s,
             registered=facts.registered,
             complaints=facts.complaints,
@@ -111,6 +115,17 @@
         hands_over = decision is replacement.Decision.hand_over
         await self._replace(group, hands_over)
 
+    def _check_complaints(self, group: str, facts: replacement.Facts) -> None:
+        """Ask a primary that others can't reach, without own traffic."""
+        if not facts.complaints or facts.failing_s is not None:
+            return
+        proved_s = _age(
+            self._shared.primaries.evidence[group].proved_at,
+            self._shared.clock.monotonic(),
+        )
+        if proved_s is None or proved_s > CHECK_S:
+            self._shared.primaries.search(group)
+
     async def _share_evidence(
         self,
         group: str,
@@ -119,10 +134,11 @@
         """Write a complaint about a silent primary, or withdraw it."""
         complaint = self._complaints.get(group)
         if complaint is None and replacement.is_worth_a_complaint(facts):
+            evidence = self._shared.primaries.evidence[group]
             complaint = catalog.Complaint(
                 self._shared.options.instance,
                 group,
-                self._shared.primaries.evidence[group].server_id,
+                evidence.server_id,
             )
             self._log.info('complaint', group=group, server=complaint.server_id)
             match await self._store.complain(complaint, self.lease):
@@ -332,7 +348,7 @@
             case result.Err(refusal):
                 return commands.Lost(refusal.message)
         lease = acquired.ok_value
-        (future,) = lease.send([command])
+        future = lease.send([command])[0]
         try:
             async with asyncio.timeout(STATUS_TIMEOUT_S):
                 reply = await future
--- a/celeryrelay/gateway/pool.py
+++ b/celeryrelay/gateway/pool.py
@@ -73,17 +73,24 @@
             found.append(commands.Reset())
             self.variables.clear()
             self.prepared.clear()
-        for name, setting in variables.items():
-            if self.variables.get(name) != setting:
-                found.append(commands.SetVariable(name, setting))
-                self.variables[name] = setting
+        for variable, setting in variables.items():
+            if self.variables.get(variable) != setting:
+                found.append(commands.SetVariable(variable, setting))
+                self.variables[variable] = setting
         if template is not None:
-            name = prepared_name(template)
-            if name not in self.prepared:
-                found.append(commands.Prepare(name, template))
-                self.prepared.add(name)
+            found.extend(self._prepare(template))
         return found
 
+    def _prepare(
+        self,
+        template: statements.Template,
+    ) -> list[commands.Command]:
+        name = prepared_name(template)
+        if name in self.prepared:
+            return []
+        self.prepared.add(name)
+        return [commands.Prepare(name, template)]
+
     def _needs_reset(self, variables: abc.Mapping[str, str]) -> bool:
         foreign = any(name not in variables for name in self.variables)
         return foreign or len(self.prepared) > MAX_PREPARED
@@ -251,7 +258,9 @@
         finally:
             self._waiters.pop(ticket.ticket_id, None)
 
-    def _abandon(self, ticket: decisions.Ticket, future: asyncio.Future) -> None:
+    def _abandon(
+        self, ticket: decisions.Ticket, future: asyncio.Future
+    ) -> None:
         started = future.done() and not future.cancelled()
         if started and isinstance(future.result(), decisions.Start):
             self._end(ticket.ticket_id, 0, ok=True)
@@ -301,7 +310,10 @@
                 return result.Ok(Pooled(connection))
             case result.Err(problem):
                 self._open -= 1
-                self.on_failed()
+                if problem is commands.ConnectProblem.full:
+                    self.on_full()
+                else:
+                    self.on_failed()
                 self._log.warn(
                     'connection not opened',
                     server=self.server.server_id,
@@ -341,8 +353,10 @@
 
 
 def _unreachable(problem: commands.ConnectProblem) -> outcomes.NotRun:
+    # A server without a free connection is alive.
+    full = problem is commands.ConnectProblem.full
     return outcomes.NotRun(
-        outcomes.Reason.connections,
+        outcomes.Reason.overload if full else outcomes.Reason.connections,
         'no connection to the backend server: {0}'.format(problem.value),
         retry_after_ms=round(FAILED_S * 1000),
     )
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -152,10 +152,7 @@
         Returns:
             False if none did by `deadline`, in seconds of the clock.
         """
-        search = self._searches.get(group)
-        if search is None or search.done():
-            search = asyncio.create_task(self._search(group))
-            self._searches[group] = search
+        search = self.search(group)
         left_s = deadline - self._clock.monotonic()
         try:
             async with asyncio.timeout(max(left_s, 0)):
@@ -164,19 +161,22 @@
             return False
         return True
 
+    def search(self, group: str) -> asyncio.Task:
+        """Start a search for the primary, or join the one that runs."""
+        search = self._searches.get(group)
+        if search is None or search.done():
+            search = asyncio.create_task(self._search(group))
+            self._searches[group] = search
+        return search
+
     def stop(self) -> None:
         """End all searches."""
         for search in self._searches.values():
             search.cancel()
 
     def _suspect(self, server: catalog.Server, reply: asyncio.Future) -> None:
-        if reply.done() or not self._is_believed(server):
-            return
-        search = self._searches.get(server.group)
-        if search is None or search.done():
-            self._searches[server.group] = asyncio.create_task(
-                self._search(server.group),
-            )
+        if not reply.done() and self._is_believed(server):
+            self.search(server.group)
 
     def _is_believed(self, server: catalog.Server) -> bool:
         leader = self._directory.leader(server.group)
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -218,7 +218,8 @@
             context.timeout_s,
             self._shared.clock,
         )
-        self._shared.pools.expected[server.server_id].on_sample(
+        pools = self._shared.pools
+        pools.expected[server.server_id].on_sample(
             lease.busy_ms,
             self._shared.clock.monotonic(),
         )
@@ -298,7 +299,9 @@
             same_zone=server.availability_zone == zone,
             same_region=region(server.availability_zone) == region(zone),
             is_primary=leader.server_id == server.server_id,
-            expected_ms=shared.pools.expected[server.server_id].expected_ms(now),
+            expected_ms=shared.pools.expected[server.server_id].expected_ms(
+                now
+            ),
             waiting=server_pool.waiting,
             limit=server_pool.limit,
             running=server_pool.running,
@@ -348,7 +351,7 @@
     lease = acquired.ok_value
     sent_at = shared.clock.monotonic()
     prepared = lease.pooled.align(context.state.variables, None)
-    *_, future = lease.send([*prepared, commands.Begin()])
+    future = lease.send([*prepared, commands.Begin()])[-1]
     shared.primaries.expect(server, future)
     reply = await exchange.reply_of(
         lease,
--- a/celeryrelay/gateway/services.py
+++ b/celeryrelay/gateway/services.py
@@ -17,6 +17,12 @@
 from celeryrelay.membership import connections as shares
 
 
+# Time after the start until which more daemons may register, and the number
+# that is assumed meanwhile.
+SETTLE_S = 4.0
+UNSETTLED_MEMBERS = 9
+
+
 class Pools:
     """Pools of all servers, created when they are first used."""
 
@@ -30,6 +36,7 @@
         self._directory = known
         self._connector = connector
         self._clock = clock
+        self._started = clock.monotonic()
         self._pools: dict[str, pool.ServerPool] = {}
         self.expected = collections.defaultdict(placement.ExpectedTime)
 
@@ -70,7 +77,10 @@
         group = known.groups.get(group_name) if known else None
         if group is None:
             return 1
-        counted = self._directory.members.counted(self._clock.monotonic())
+        now = self._clock.monotonic()
+        counted = self._directory.members.counted(now)
+        if now - self._started < SETTLE_S:
+            counted = max(counted, UNSETTLED_MEMBERS)
         return shares.share(group.connection_limit, counted)
 
 
--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -126,6 +126,16 @@
                 self._answer(_aborted())
             case _ if self._failed:
                 self._answer(_malformed('the transaction has failed'))
+            case _:
+                self._dispatch_usable(request, received_at)
+
+    def _dispatch_usable(
+        self,
+        request: statements.Request,
+        received_at: float,
+    ) -> None:
+        """Handle a statement outside of a failed transaction."""
+        match request.statement:
             case statements.Begin(read_only):
                 self._begin(read_only, received_at)
             case statements.Run() | statements.Execute():
@@ -233,7 +243,8 @@
         self._failed = not commits
 
     def _drop_transaction(self) -> None:
-        transaction, self._transaction = self._transaction, None
+        transaction = self._transaction
+        self._transaction = None
         if transaction is not None:
             self._runners.transactions.end(transaction)
 
--- a/celeryrelay/gateway/transactions.py
+++ b/celeryrelay/gateway/transactions.py
@@ -86,7 +86,8 @@
 
     def end(self, transaction: Transaction, usable: bool = True) -> None:
         """Roll back what is open and give the connection back."""
-        lease, transaction.lease = transaction.lease, None
+        lease = transaction.lease
+        transaction.lease = None
         if lease is None:
             return
         if usable:
@@ -160,7 +161,7 @@
                 return None
         lease = acquired.ok_value
         prepared = lease.pooled.align(context.state.variables, None)
-        *_, future = lease.send([*prepared, begin])
+        future = lease.send([*prepared, begin])[-1]
         reply = await exchange.reply_of(
             lease,
             future,
@@ -279,8 +280,8 @@
         match answer:
             case commands.Reply(error=None):
                 if commits:
-                    lease, transaction.lease = transaction.lease, None
-                    lease.release()
+                    transaction.lease.release()
+                    transaction.lease = None
                 return answer
             case commands.Reply():
                 self.end(transaction)
--- a/celeryrelay/membership/connections.py
+++ b/celeryrelay/membership/connections.py
@@ -6,6 +6,11 @@
 DEAD_CONNECTIONS_S = 3.5
 
 
+# Least number of daemons by which the connections are divided: one that has
+# just started, as after a loss of all daemons, does not know the others yet.
+LEAST_MEMBERS = 4
+
+
 def share(connection_limit: int, members: int) -> int:
     """Return the connections to one server that a daemon may have open.
 
@@ -13,7 +18,8 @@
         connection_limit: Connections that the server accepts in all.
         members: Daemons that may be running.
     """
-    return max((connection_limit - RESERVED) // max(members, 1), 1)
+    divisor = max(members, LEAST_MEMBERS)
+    return max((connection_limit - RESERVED) // divisor, 1)
 
 
 class MemberCount:
--- a/celeryrelay/platform/backends.py
+++ b/celeryrelay/platform/backends.py
@@ -36,10 +36,16 @@
         case commands.Run():
             request_id = command.request_id
             text = _after(command.bound) + _run_text(command)
-        case commands.Begin():
-            text = _after(command.bound) + (
-                'BEGIN READ' if command.read_only else 'BEGIN'
-            )
+        case commands.Begin(read_only):
+            mode = ' READ' if read_only else ''
+            text = '{0}BEGIN{1}'.format(_after(command.bound), mode)
+        case _:
+            text = _own_text(command)
+    return 'QUERY {0} {1}\r\n'.format(request_id, text).encode(wire.ENCODING)
+
+
+def _own_text(command: commands.Command) -> str:
+    match command:
         case commands.Rollback():
             text = 'ROLLBACK'
         case commands.Reset():
@@ -56,7 +62,7 @@
             text = 'STATUS'
         case commands.StepDown():
             text = 'STEPDOWN {0}'.format(command.term)
-    return 'QUERY {0} {1}\r\n'.format(request_id, text).encode(wire.ENCODING)
+    return text
 
 
 def _after(bound: positions.Position | None) -> str:
@@ -154,7 +160,8 @@
             self._complete('READY I -')
 
     def _complete(self, ready: str) -> None:
-        lines, self._lines = self._lines, []
+        lines = self._lines
+        self._lines = []
         if not self._waiting:
             self.close('reply without a command')
             return
--- a/celeryrelay/platform/documents.py
+++ b/celeryrelay/platform/documents.py
@@ -243,6 +243,9 @@
     )
 
 
-def query(**parameters: str | int) -> str:
-    """Return the query part of a call's target."""
-    return urllib.parse.urlencode(parameters)
+def target(call: str, **parameters: str | int) -> str:
+    """Return the target of a call with its query."""
+    return '/celeryrelay/{0}?{1}'.format(
+        call,
+        urllib.parse.urlencode(parameters),
+    )
--- a/celeryrelay/platform/http1.py
+++ b/celeryrelay/platform/http1.py
@@ -86,11 +86,13 @@
                 return
             self.close()
         host, _, port = self._address.rpartition(':')
-        self._reader, self._writer = await asyncio.open_connection(
+        reader, writer = await asyncio.open_connection(
             host,
             int(port),
             family=socket.AF_INET,
         )
+        self._reader = reader
+        self._writer = writer
         sockets.detect_silence(self._writer.transport)
         self._codec = h11.Connection(h11.CLIENT)
 
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -45,7 +45,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        listeners = await self._listen()
+        callers_listener = await callers.listen(
+            self._application.sessions,
+            self._options.caller_address,
+        )
+        pages = await self._listen_pages()
         follower = feed.Feed(
             self._store,
             self._application,
@@ -56,18 +60,14 @@
         # What was imported stays; the collector need not look at it again.
         gc.freeze()
         await self._stop.wait()
-        await self._application.stop()
+        await self._application.stop(callers_listener.close)
         watching.cancel()
-        for listener in listeners:
+        for listener in pages:
             listener.close()
 
-    async def _listen(self) -> list[asyncio.Server]:
+    async def _listen_pages(self) -> list[asyncio.Server]:
         pages = http1.PageServer(self._page)
         return [
-            await callers.listen(
-                self._application.sessions,
-                self._options.caller_address,
-            ),
             await pages.listen(self._options.probe_address),
             await pages.listen(self._options.metrics_address),
         ]
--- a/celeryrelay/platform/store.py
+++ b/celeryrelay/platform/store.py
@@ -105,7 +105,7 @@
     ) -> result.Result[Page, ports.StoreProblem]:
         """Return a page of all items, beginning after the key `after`."""
         parameters = {'prefix': '', 'after': after} if after else {'prefix': ''}
-        target = '/celeryrelay/kv-range?' + documents.query(**parameters)
+        target = documents.target('kv-range', **parameters)
         return await self._ask(self._watches, 'GET', target, Page)
 
     async def watch(
@@ -114,7 +114,8 @@
         wait_ms: int,
     ) -> result.Result[Events | HistoryGone, ports.StoreProblem]:
         """Wait for events after `revision`."""
-        target = '/celeryrelay/kv-watch?' + documents.query(
+        target = documents.target(
+            'kv-watch',
             prefix='',
             after=revision,
             wait_ms=wait_ms,
@@ -215,7 +216,8 @@
         group: str,
     ) -> result.Result[catalog.Office | None, ports.StoreProblem]:
         """Return the newest office of a group."""
-        target = '/celeryrelay/kv-key?' + documents.query(
+        target = documents.target(
+            'kv-key',
             key=documents.office_key(group),
         )
         answer = await self._call(self._calls, 'GET', target)
@@ -313,7 +315,9 @@
         case result.Ok(http1.Response(status=status, body=body)):
             if status == _OK:
                 try:
-                    return result.Ok(msgspec.json.decode(body, type=answer_type))
+                    return result.Ok(
+                        msgspec.json.decode(body, type=answer_type)
+                    )
                 except msgspec.MsgspecError as error:
                     return result.Err(ports.StoreProblem(str(error), True))
     return _problem(answer)
--- /dev/null
+++ b/standins/kvstore/site.py
@@ -0,0 +1,217 @@
+"""A whole platform in one process, and daemons as real processes."""
+
+import asyncio
+import base64
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import typing
+
+import standins
+from standins.kvstore import service
+from standins.linedb import group as groups
+from standins.linedb import server as servers
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+START_TIMEOUT_S = 15
+_ROOT = pathlib.Path(standins.__file__).parent.parent
+
+
+def free_port() -> int:
+    """Return a port of 127.0.0.1 that is free now."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+class Daemon:
+    """One daemon process with its settings file and its log."""
+
+    def __init__(self, name: str, directory: pathlib.Path, store: str) -> None:
+        """Write the settings of the daemon `name`."""
+        self.name = name
+        self.port = free_port()
+        self.probe_port = free_port()
+        self.metrics_port = free_port()
+        self.settings_path = directory / f'{name}.conf'
+        self.log_path = directory / f'{name}.log'
+        self.process: asyncio.subprocess.Process | None = None
+        zone = ZONES[int(name.rpartition('-')[2]) % len(ZONES)]
+        lines = {
+            'node': name,
+            'zone': zone,
+            'ip': '127.0.0.1',
+            'listen.front': f'127.0.0.1:{self.port}',
+            'listen.ready': f'127.0.0.1:{self.probe_port}',
+            'internal_ports': f'{self.metrics_port},{self.metrics_port}',
+            'platform.addr': store,
+            'cloud.addr': store,
+            'bounds.grace_s': '6',
+            **{f'zones.{one}': f'region-{one}' for one in ZONES},
+        }
+        text = ''.join(f'{key}={field}\n' for key, field in lines.items())
+        self.settings_path.write_text(text)
+
+    async def start(self) -> None:
+        """Start the process and wait until it is ready."""
+        with self.log_path.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'celeryrelay.management.commands.gateway',
+                '--log_level=DEBUG',
+                stdout=log,
+                stderr=log,
+                cwd=_ROOT,
+                env={
+                    **os.environ,
+                    'CELERYRELAY_BOOT': str(self.settings_path),
+                },
+            )
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while await self.probe() != 200:
+                await asyncio.sleep(0.05)
+
+    async def probe(self) -> int:
+        """Return the status of the health check, 0 without an answer."""
+        status, _ = await self.get(self.probe_port, '/celeryrelay/ready')
+        return status
+
+    async def get(self, port: int, path: str) -> tuple[int, str]:
+        """Return status and body of a page."""
+        try:
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        except OSError:
+            return 0, ''
+        request = f'GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+        writer.write(request.encode())
+        raw = (await reader.read()).decode()
+        writer.close()
+        head, _, body = raw.partition('\r\n\r\n')
+        return int(head.split(' ')[1]) if head else 0, body
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    async def end(self) -> int:
+        """Wait for the end of the process and return its exit code."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            return await self.process.wait()
+
+    def log(self) -> list[dict[str, typing.Any]]:
+        """Return the lines that the process has logged."""
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+
+class Site:
+    """Databases, store and daemons of one deployment."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        """Prepare one group with a server in each zone."""
+        self.group = groups.Group('ledger', ZONES)
+        self.service = service.Service({'ledger': self.group})
+        self.daemons: list[Daemon] = []
+        self._directory = directory
+        self._listeners: list[asyncio.Server] = []
+        self._reporter: asyncio.Task | None = None
+        self._version = 7
+
+    async def start(self, daemons: int) -> None:
+        """Start everything with `daemons` daemons."""
+        for server in self.group.servers.values():
+            self._listeners.append(await servers.serve(server))
+        await self.service.start()
+        self.publish()
+        self.report()
+        self._reporter = asyncio.create_task(self._report_changes())
+        self.daemons = [
+            Daemon(f'front-{number}', self._directory, self.service.address)
+            for number in range(daemons)
+        ]
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+
+    async def stop(self) -> None:
+        """Kill the daemons that run and end the rest."""
+        for daemon in self.daemons:
+            if daemon.process and daemon.process.returncode is None:
+                daemon.process.kill()
+                await daemon.process.wait()
+        self._reporter.cancel()
+        for server in self.group.servers.values():
+            server.faults.dark = False
+        for listener in self._listeners:
+            listener.close()
+        await self.service.stop()
+
+    def publish(self, **changes: typing.Any) -> int:
+        """Publish a configuration and return its version."""
+        self._version += 3
+        document = {
+            'version': self._version,
+            'routes': [
+                _route('bookings', 'primary', 0, 400),
+                _route('views', 'bounded', 1, 800, max_staleness_ms=1500),
+                _route('logs', 'own', 2, 1500, max_staleness_ms=2500),
+            ],
+            'services': [
+                {'name': 'ledger', 'max_conns': 22, 'sync_replicas': 0},
+            ],
+            'limits': {'tx_idle_ms': 3000},
+            **changes,
+        }
+        self.put('op/config', document)
+        return self._version
+
+    def put(self, key: str, document: typing.Any) -> int:
+        """Write a document to the store."""
+        encoded = base64.b64encode(json.dumps(document).encode()).decode()
+        return self.service.store.put(key, encoded)
+
+    def report(self, state: dict[str, str] | None = None) -> None:
+        """Let all servers register themselves with their present roles."""
+        for server in self.group.servers.values():
+            self.put(
+                f'servers/{server.server_id}',
+                {
+                    'service': self.group.name,
+                    'addr': server.address,
+                    'zone': server.zone,
+                    'slots': servers.SLOTS,
+                    'state': (state or {}).get(server.server_id, 'ready'),
+                    'db_role': 'primary' if server.leads else 'replica',
+                    'born': 1,
+                    'seq': 1,
+                },
+            )
+
+    async def _report_changes(self) -> None:
+        while True:
+            await self.group.changed.wait()
+            self.group.changed.clear()
+            if self.group.primary is not None:
+                self.report()
+
+
+def _route(
+    host: str,
+    kind: str,
+    priority: int,
+    goal_ms: int,
+    **more: typing.Any,
+) -> dict[str, typing.Any]:
+    return {
+        'name': f'r-{host}',
+        'host': host,
+        'prefix': '/',
+        'service': 'ledger',
+        'kind': kind,
+        'timeout_ms': 800,
+        'goal_ms': goal_ms,
+        'priority': priority,
+        **more,
+    }
--- /dev/null
+++ b/standins/linedb/client.py
@@ -0,0 +1,87 @@
+"""Client of the line protocol, for tests."""
+
+import asyncio
+import dataclasses
+import itertools
+
+_IDS = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A complete answer.
+
+    Attributes:
+        rows: Rows in order.
+        code: Error code, empty for a success.
+        proof: Proof of a success.
+        state: State of the session after it.
+        position: Position in it.
+    """
+
+    rows: tuple[str, ...]
+    code: str
+    proof: str
+    state: str
+    position: str
+
+    @property
+    def ok(self) -> bool:
+        """Whether it is a success."""
+        return not self.code
+
+
+class Client:
+    """One session."""
+
+    def __init__(self, port: int) -> None:
+        """Talk to the daemon at `port` of 127.0.0.1."""
+        self._port = port
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def start(self, database: str) -> Answer:
+        """Open a session."""
+        self._reader, self._writer = await asyncio.open_connection(
+            '127.0.0.1',
+            self._port,
+        )
+        self.write(f'START {database} user')
+        return await self._answer()
+
+    async def query(self, text: str, request_id: str = '') -> Answer:
+        """Run a statement."""
+        request_id = request_id or 'q{0:x}'.format(next(_IDS))
+        self.write(f'QUERY {request_id} {text}')
+        return await self._answer()
+
+    def write(self, line: str) -> None:
+        """Send a line."""
+        self._writer.write(f'{line}\r\n'.encode('latin-1'))
+
+    def close(self) -> None:
+        """End the connection."""
+        self._writer.close()
+
+    async def _answer(self) -> Answer:
+        rows: list[str] = []
+        code = proof = ''
+        async with asyncio.timeout(10):
+            while raw := await self._reader.readline():
+                fields = raw.decode('latin-1').rstrip('\r\n').split(' ')
+                match fields:
+                    case ['ROW', *row]:
+                        rows.append(' '.join(row))
+                    case ['DONE', proof]:
+                        continue
+                    case ['ERR', code, *_]:
+                        continue
+                    case ['READY', state, position]:
+                        return Answer(
+                            tuple(rows),
+                            code,
+                            proof,
+                            state,
+                            position,
+                        )
+        return Answer(tuple(rows), code or 'CLOSED', proof, '', '')
--- /dev/null
+++ b/standins/linedb/group.py
@@ -0,0 +1,152 @@
+"""One replicated database: logs, roles, terms and faults."""
+
+import asyncio
+import dataclasses
+import secrets
+import time
+import typing
+
+Position = tuple[int, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A committed change of one item."""
+
+    position: Position
+    key: str
+    content: str
+    request_id: str
+    committed_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults of one server.
+
+    Attributes:
+        lag_s: Time after which a replica applies a commit.
+        deaf: Whether a replica receives nothing.
+        dark: Whether the server answers nothing.
+        busy: Whether it refuses all work.
+        lose_answers: Whether it runs statements and ends the connection.
+        work_s: Time that a statement takes.
+    """
+
+    lag_s: float = 0.005
+    deaf: bool = False
+    dark: bool = False
+    busy: bool = False
+    lose_answers: bool = False
+    work_s: float = 0.001
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A statement that a server ran, for the checks of tests.
+
+    Attributes:
+        server_id: Server that ran it.
+        request_id: Id of the statement.
+        text: Its text.
+        variables: Session variables of the connection.
+        in_transaction: Whether a transaction was open.
+    """
+
+    server_id: str
+    request_id: str
+    text: str
+    variables: dict[str, str]
+    in_transaction: bool
+
+
+class Server:
+    """State of one server of a group."""
+
+    def __init__(self, group: 'Group', server_id: str, zone: str) -> None:
+        """Create a replica without a log."""
+        self.group = group
+        self.server_id = server_id
+        self.zone = zone
+        self.faults = Faults()
+        self.connections = 0
+        self.address = ''
+        self.log: list[Entry] = []
+
+    @property
+    def leads(self) -> bool:
+        """Whether the server is the primary of the newest term."""
+        return self.group.primary is self
+
+    @property
+    def position(self) -> Position:
+        """Position up to which the log was applied."""
+        applied = self.applied()
+        return applied[-1].position if applied else (1, 0)
+
+    def applied(self) -> list[Entry]:
+        """Return the entries that reads see now."""
+        if self.leads or self.group.was_primary(self):
+            return self.log
+        before = time.monotonic() - self.faults.lag_s
+        return [entry for entry in self.log if entry.committed_at <= before]
+
+    def read(self, key: str) -> str:
+        """Return the content of an item, `-` if it was never written."""
+        found = '-'
+        for entry in self.applied():
+            if entry.key == key:
+                found = entry.content
+        return found
+
+
+class Group:
+    """Servers that share a log."""
+
+    def __init__(self, name: str, zones: typing.Sequence[str]) -> None:
+        """Create a server in each zone; the first one leads term 1."""
+        self.name = name
+        self.term = 1
+        self.max_connections = 22
+        self.servers = {
+            f's-{name}-{number}': Server(self, f's-{name}-{number}', zone)
+            for number, zone in enumerate(zones)
+        }
+        self.primary: Server | None = next(iter(self.servers.values()))
+        self.runs: list[Run] = []
+        self._deposed: set[str] = set()
+        self.changed = asyncio.Event()
+
+    def was_primary(self, server: Server) -> bool:
+        """Return whether a server led once and kept its own log since."""
+        return server.server_id in self._deposed
+
+    def commit(self, writes: list[tuple[str, str, str]]) -> Position:
+        """Append a transaction's writes and return its position."""
+        position = (self.term, self.primary.position[1] + 1)
+        for key, content, request_id in writes:
+            entry = Entry(position, key, content, request_id, time.monotonic())
+            for server in self.servers.values():
+                if server is self.primary or not server.faults.deaf:
+                    server.log.append(entry)
+        return position
+
+    def promote(self, server_id: str) -> None:
+        """Let a server lead the next term with the log that it has."""
+        self.term += 1
+        old, new = self.primary, self.servers[server_id]
+        if old is new:
+            return
+        if old is not None:
+            # The old primary keeps its log until it follows, as after a cut.
+            self._deposed.add(old.server_id)
+        self._deposed.discard(server_id)
+        self.primary = new
+        for other in self.servers.values():
+            if other is not new and other is not old:
+                other.log = list(new.log)
+        self.changed.set()
+
+    def proof(self) -> str:
+        """Return a proof for an answer."""
+        return secrets.token_hex(6)
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,35 @@
+import pytest
+
+from standins.kvstore import site as sites
+from standins.linedb import client as clients
+
+
+@pytest.fixture
+async def start_site(tmp_path):
+    started = []
+
+    async def start(daemons=1):
+        site = sites.Site(tmp_path)
+        started.append(site)
+        await site.start(daemons)
+        return site
+
+    yield start
+    for site in started:
+        await site.stop()
+
+
+@pytest.fixture
+async def connect():
+    opened = []
+
+    async def start(daemon, database):
+        client = clients.Client(daemon.port)
+        opened.append(client)
+        answer = await client.start(database)
+        assert answer.ok, answer
+        return client
+
+    yield start
+    for client in opened:
+        client.close()
--- /dev/null
+++ b/tests/gateway/test_site.py
@@ -0,0 +1,413 @@
+"""Daemons as real processes before stand-ins of databases and store."""
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from standins.linedb import client as clients
+
+
+async def write_until_served(client, item, content, limit_s=6):
+    """Repeat a write that is refused; return its answer and the time."""
+    begun = time.monotonic()
+    while time.monotonic() - begun < limit_s:
+        answer = await client.query(f'WRITE {item} {content}')
+        if answer.ok:
+            return answer, time.monotonic() - begun
+        await asyncio.sleep(0.02)
+    raise AssertionError(f'not served within {limit_s} s: {answer}')
+
+
+def runs_of(site, request_id):
+    return [run for run in site.group.runs if run.request_id == request_id]
+
+
+async def test_sessions_see_their_writes_through_lagging_replicas(
+    start_site,
+    connect,
+):
+    """Guards against reads of own data on a replica that lacks it."""
+    site = await start_site()
+    for server in site.group.servers.values():
+        server.faults.lag_s = 0.3
+    client = await connect(site.daemons[0], 'logs')
+    for number in range(10):
+        assert (await client.query(f'WRITE i1 v{number}')).ok
+        assert (await client.query('READ i1')).rows == (f'v{number}',)
+
+
+async def test_bounded_reads_use_replicas_that_are_young_enough(
+    start_site,
+    connect,
+):
+    """Guards against reads that all go to the primary, or are too old."""
+    site = await start_site(daemons=2)
+    # The second daemon is in the availability zone of a replica.
+    writer = await connect(site.daemons[1], 'bookings')
+    reader = await connect(site.daemons[1], 'views')
+    assert (await writer.query('WRITE i1 old')).ok
+    await asyncio.sleep(0.9)
+    for server in site.group.servers.values():
+        server.faults.lag_s = 0.8
+    assert (await writer.query('WRITE i1 new')).ok
+    for _ in range(5):
+        assert (await reader.query('READ i1')).rows in {('old',), ('new',)}
+    primary = site.group.primary.server_id
+    served = {run.server_id for run in site.group.runs if 'READ' in run.text}
+    assert served - {primary}
+    # Data older than the route's 1.5 s would lack the second write.
+    for server in site.group.servers.values():
+        server.faults.deaf = True
+    assert (await writer.query('WRITE i1 newest')).ok
+    await asyncio.sleep(1.6)
+    assert (await reader.query('READ i1')).rows == ('newest',)
+
+
+async def test_deposed_primary_serves_no_read_of_a_primary_route(
+    start_site,
+    connect,
+):
+    """Guards against old rows from a primary that lost the lead unnoticed.
+
+    The registrations still name the old primary, as while the store is cut
+    off.
+    """
+    site = await start_site()
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 old')).ok
+    site._reporter.cancel()
+    successor = list(site.group.servers)[1]
+    site.group.promote(successor)
+    site.group.commit([('i1', 'new', 'other')])
+    for _ in range(3):
+        assert (await client.query('READ i1')).rows == ('new',)
+
+
+async def test_values_and_prepared_names_follow_their_session(
+    start_site,
+    connect,
+):
+    """Guards against state of one session on the statements of another.
+
+    Sessions outnumber connections, and their names collide.
+    """
+    site = await start_site()
+    site.group.max_connections = 3
+    opened = [await connect(site.daemons[0], 'logs') for _ in range(6)]
+    for number, client in enumerate(opened):
+        assert (await client.query(f'SET zone z{number}')).ok
+        if number % 2:
+            assert (await client.query(f'SET extra e{number}')).ok
+        shape = 'WRITE' if number % 3 else 'READ'
+        assert (await client.query(f'PREPARE s1 {shape} q{number}')).ok
+
+    async def use(number, client):
+        for turn in range(15):
+            data = f' d{turn}' if number % 3 else ''
+            request_id = f'n{number}t{turn}'
+            answer = await client.query(f'EXEC s1 k{number}{data}', request_id)
+            assert answer.ok, answer
+            (run,) = runs_of(site, request_id)
+            expected = {'zone': f'z{number}'}
+            if number % 2:
+                expected['extra'] = f'e{number}'
+            assert run.variables == expected
+
+    await asyncio.gather(*(use(*one) for one in enumerate(opened)))
+
+
+async def test_dead_primary_is_replaced_and_nothing_is_lost_or_doubled(
+    start_site,
+    connect,
+):
+    """Guards against a group that stays without a primary."""
+    site = await start_site(daemons=3)
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 before')).ok
+    await asyncio.sleep(0.1)
+    old = site.group.primary
+    old.faults.dark = True
+    answer, gap_s = await write_until_served(client, 'i2', 'after')
+    assert answer.ok
+    assert site.group.primary is not old
+    # Two changes of primary a day, each over within 6 s.
+    assert gap_s < 6
+    assert (await client.query('READ i1')).rows == ('before',)
+    tokens = [order.token for order in site.service.orders]
+    assert len(tokens) == len(set(tokens))
+    contents = [entry.content for entry in site.group.primary.log]
+    assert contents.count('after') == 1
+
+
+async def test_leaving_primary_is_handed_over_without_a_lost_write(
+    start_site,
+    connect,
+):
+    """Guards against acknowledged writes that the successor lacks."""
+    site = await start_site(daemons=2)
+    for server in site.group.servers.values():
+        server.faults.lag_s = 0.05
+    client = await connect(site.daemons[0], 'bookings')
+    old = site.group.primary
+    acknowledged = []
+
+    async def write():
+        for number in range(40):
+            answer = await client.query(f'WRITE k{number} v{number}')
+            if answer.ok:
+                acknowledged.append(f'v{number}')
+            await asyncio.sleep(0.02)
+
+    writing = asyncio.create_task(write())
+    await asyncio.sleep(0.2)
+    site.report({old.server_id: 'draining'})
+    await writing
+    assert site.group.primary is not old
+    stored = [entry.content for entry in site.group.primary.log]
+    assert [one for one in acknowledged if one not in stored] == []
+    assert len(acknowledged) > 30
+
+
+async def test_lost_answers_of_writes_are_in_doubt_and_of_reads_repeated(
+    start_site,
+    connect,
+):
+    """Guards against a promise that is not true after a lost answer."""
+    site = await start_site()
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 v1')).ok
+    primary = site.group.primary
+    primary.faults.lose_answers = True
+    assert (await client.query('WRITE i1 v2', 'w2')).code == 'INDOUBT'
+    assert len(runs_of(site, 'w2')) == 1
+    reader = await connect(site.daemons[0], 'views')
+    assert (await reader.query('READ i1')).ok
+    assert (await client.query('BEGIN')).state == 'T'
+    lost = await client.query('WRITE i3 v3')
+    assert (lost.code, lost.state) == ('ABORTED', 'E')
+    assert (await client.query('READ i3')).code == 'MALFORMED'
+    assert (await client.query('ROLLBACK')).state == 'I'
+    primary.faults.lose_answers = False
+    assert (await client.query('READ i3')).rows == ('-',)
+
+
+async def test_transaction_keeps_one_connection_and_ends_with_its_caller(
+    start_site,
+    connect,
+):
+    """Guards against statements outside of their own transaction."""
+    site = await start_site()
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('BEGIN')).state == 'T'
+    assert (await client.query('WRITE i1 v1', 't1')).state == 'T'
+    other = await connect(site.daemons[0], 'bookings')
+    assert (await other.query('READ i1')).rows == ('-',)
+    assert runs_of(site, 't1')[0].in_transaction
+    client.close()
+    await asyncio.sleep(0.2)
+    assert (await other.query('READ i1')).rows == ('-',)
+    assert (await other.query('BEGIN')).ok
+    assert (await other.query('WRITE i1 v2')).ok
+    commit = await other.query('COMMIT')
+    assert (commit.ok, commit.state) == (True, 'I')
+    assert commit.proof != '-'
+    assert (await other.query('READ i1')).rows == ('v2',)
+
+
+async def test_older_configuration_never_returns(start_site, connect):
+    """Guards against a route that comes back with an older version."""
+    site = await start_site()
+    daemon = site.daemons[0]
+    await connect(daemon, 'bookings')
+    site.publish(routes=[])
+    await asyncio.sleep(0.3)
+    refused = await clients.Client(daemon.port).start('bookings')
+    assert refused.code == 'NODB'
+    site._version -= 9
+    site.publish()
+    site.service.store.compact()
+    await asyncio.sleep(0.5)
+    refused = await clients.Client(daemon.port).start('bookings')
+    assert refused.code == 'NODB'
+    site._version += 9
+    site.publish()
+    await asyncio.sleep(0.3)
+    assert (await clients.Client(daemon.port).start('bookings')).ok
+
+
+async def test_unreadable_registrations_leave_the_others_in_use(
+    start_site,
+    connect,
+):
+    """Guards against an entry of another writer that stops the daemon."""
+    site = await start_site()
+    site.put('servers/x1', {'service': 'ledger', 'addr': 7})
+    site.put('servers/x2', ['no', 'object'])
+    site.service.store.put('servers/x3', '%%%')
+    site.put('servers/x4', {'service': 'ledger', 'state': 'unheard of'})
+    await asyncio.sleep(0.2)
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 v1')).ok
+    assert (await client.query('READ i1')).rows == ('v1',)
+
+
+async def test_planned_stop_cuts_no_statement(start_site, connect):
+    """Guards against a stop that interrupts statements or transactions."""
+    site = await start_site(daemons=2)
+    daemon = site.daemons[0]
+    for server in site.group.servers.values():
+        server.faults.work_s = 0.05
+    client = await connect(daemon, 'bookings')
+    idle = await connect(daemon, 'views')
+    assert (await client.query('BEGIN')).ok
+    assert (await client.query('WRITE i1 v1')).ok
+    daemon.signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    assert await daemon.probe() == 503
+    for number in range(8):
+        assert (await client.query(f'WRITE j{number} v1')).ok
+        await asyncio.sleep(0.2)
+    assert (await client.query('COMMIT')).ok
+    assert await daemon.end() == 0
+    assert (await idle._reader.read()) == b''
+    names = {
+        key
+        for key in site.service.store.items
+        if key.startswith('celeryrelay/members/')
+    }
+    assert len(names) == 1
+
+
+async def test_store_outage_stops_no_statement(start_site, connect):
+    """Guards against statements that need the store."""
+    site = await start_site()
+    client = await connect(site.daemons[0], 'bookings')
+    site.service.faults.down = True
+    for number in range(30):
+        assert (await client.query(f'WRITE i1 v{number}')).ok
+        assert (await client.query('READ i1')).rows == (f'v{number}',)
+        await asyncio.sleep(0.05)
+    site.service.faults.down = False
+    await asyncio.sleep(1.5)
+    site.publish(routes=[])
+    await asyncio.sleep(0.5)
+    assert (await clients.Client(site.daemons[0].port).start('x')).code == (
+        'NODB'
+    )
+
+
+async def test_lost_answer_of_the_store_does_not_stop_a_failover(
+    start_site,
+    connect,
+):
+    """Guards against an office that its author does not recognise."""
+    site = await start_site()
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 v1')).ok
+    await asyncio.sleep(0.1)
+    site.service.faults.lose_writes = True
+    old = site.group.primary
+    old.faults.dark = True
+    _, gap_s = await write_until_served(client, 'i2', 'after', limit_s=10)
+    assert site.group.primary is not old
+    assert gap_s < 6
+
+
+async def test_malformed_lines_cost_their_connection_only(
+    start_site,
+    connect,
+):
+    """Guards against smuggled statements and a daemon that stops."""
+    site = await start_site()
+    daemon = site.daemons[0]
+    other = await connect(daemon, 'bookings')
+    for line in (
+        'QUERY a1 READ x\nQUERY a2 WRITE x y',
+        'QUERY - WRITE x y',
+        'NONSENSE',
+        'QUERY',
+    ):
+        client = await connect(daemon, 'bookings')
+        client.write(line)
+        answer = await client._answer()
+        assert answer.code == 'MALFORMED'
+        assert (await client._reader.read()) == b''
+    for text in ('AFTER 1.1 READ x', 'STATUS', 'STEPDOWN 9', 'RESET', 'READ'):
+        assert (await other.query(text)).code == 'MALFORMED'
+    assert (await other.query('WRITE i1 v1')).ok
+    assert {run.text for run in site.group.runs} == {'WRITE i1 v1'}
+
+
+async def test_log_and_metrics_tell_why_a_statement_was_refused(
+    start_site,
+    connect,
+):
+    """Guards against refusals that can't be explained afterwards."""
+    site = await start_site()
+    daemon = site.daemons[0]
+    client = await connect(daemon, 'bookings')
+    assert (await client.query('WRITE i1 v1')).ok
+    for server in site.group.servers.values():
+        server.faults.busy = True
+    answer = await client.query('READ i1', 'refused1')
+    assert answer.code == 'BUSY'
+    lines = [line for line in daemon.log() if line.get('request') == 'refused1']
+    assert any(line['event'] == 'read goes elsewhere' for line in lines)
+    assert lines[-1]['outcome'].startswith('not run')
+    status, page = await daemon.get(daemon.metrics_port, '/metrics')
+    assert status == 200
+    assert 'celeryrelay_statements_total' in page
+    assert 'celeryrelay_statement_milliseconds_bucket' in page
+
+
+@pytest.mark.parametrize('field', ['node', 'listen.front', 'platform.addr'])
+async def test_wrong_settings_are_refused_with_the_field(tmp_path, field):
+    """Guards against a daemon that starts with settings it can't use."""
+    from celeryrelay.platform import boot
+
+    path = tmp_path / 'boot.conf'
+    fields = {name: '10.0.0.1:80' for name in boot.REQUIRED}
+    fields['internal_ports'] = '7440,7455'
+    fields[field] = '' if field == 'node' else 'nowhere'
+    text = ''.join(f'{name}={value}\n' for name, value in fields.items())
+    path.write_text(text)
+    refused = boot.load(str(path))
+    assert refused.is_err()
+    assert field in refused.err_value
+    assert str(path) in refused.err_value
+
+
+async def test_statements_sent_at_the_end_of_a_stop_are_answered(start_site):
+    """Guards against sessions that open while the process exits.
+
+    Found on a day with planned stops: a session that opened after the last
+    one had ended was cut together with its statement.
+    """
+    site = await start_site(daemons=2)
+    daemon = site.daemons[0]
+    for server in site.group.servers.values():
+        server.faults.work_s = 0.02
+    unanswered = []
+
+    async def call():
+        client = clients.Client(daemon.port)
+        try:
+            started = await client.start('bookings')
+        except OSError:
+            return False
+        if started.state == 'I':
+            answer = await client.query('WRITE i1 v1')
+            unanswered.extend([answer] if answer.code == 'CLOSED' else [])
+            client.close()
+        return True
+
+    async def call_until_refused():
+        while await call():
+            await asyncio.sleep(0.005)
+
+    daemon.signal(signal.SIGTERM)
+    await asyncio.gather(*(call_until_refused() for _ in range(4)))
+    assert await daemon.end() == 0
+    assert unanswered == []
