Replace a dead primary sooner; hold statements while a failover runs; tests of the decisions

Now turns count the complaining daemons only, half of the daemons suffice, and statements wait for a primary up to the route's timeout. Ruled out: the promotion itself (0.3 s).

--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -63,7 +63,8 @@
         evidence = shared.primaries.evidence[group]
         believed = shared.directory.leader(group).server_id
         known = shared.directory.known(believed or evidence.server_id)
-        members = shared.directory.members.names | {shared.options.instance}
+        members = shared.directory.members.names
+        complaining = self._complaining(group)
         office = shared.directory.offices.get(group)
         order_s = now - shared.directory.office_seen.get(group, now)
         is_own = office is not None and office.holder == shared.options.instance
@@ -72,22 +73,25 @@
             failures=evidence.failures,
             registered=known is not None and known.gone_since is None,
             draining_s=_age(known.draining_since, now) if known else None,
-            complaints=self._complaining(group),
-            members=len(members),
-            turn=self._turn(group, members),
+            complaints=len(complaining),
+            members=len(members | {shared.options.instance}),
+            turn=self._turn(group, complaining or members),
             own_order_s=order_s if is_own else None,
             other_order_s=order_s if office and not is_own else None,
         )
 
-    def _turn(self, group: str, members: frozenset[str]) -> int:
-        order = rendezvous.top(group, members, len(members))
-        return order.index(self._shared.options.instance)
+    def _turn(self, group: str, names: frozenset[str]) -> int:
+        own = self._shared.options.instance
+        order = rendezvous.top(group, names | {own}, len(names) + 1)
+        return order.index(own)
 
-    def _complaining(self, group: str) -> int:
+    def _complaining(self, group: str) -> frozenset[str]:
+        """Return the other daemons that can't reach the primary."""
         own = self._shared.options.instance
-        return sum(
-            complaint.group == group and complaint.member != own
+        return frozenset(
+            complaint.member
             for complaint in self._shared.directory.complaints.values()
+            if complaint.group == group and complaint.member != own
         )
 
     async def _review(self, group: catalog.Group) -> None:
@@ -119,10 +123,8 @@
         """Ask a primary that others can't reach, without own traffic."""
         if not facts.complaints or facts.failing_s is not None:
             return
-        proved_s = _age(
-            self._shared.primaries.evidence[group].proved_at,
-            self._shared.clock.monotonic(),
-        )
+        evidence = self._shared.primaries.evidence[group]
+        proved_s = _age(evidence.proved_at, self._shared.clock.monotonic())
         if proved_s is None or proved_s > CHECK_S:
             self._shared.primaries.search(group)
 
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -17,11 +17,11 @@
 
 # Samples older than the largest age of any read are of no use.
 SAMPLE_HORIZON_S = 30
-PROBE_TIMEOUT_S = 0.4
-PROBE_PAUSE_S = 0.08
+PROBE_TIMEOUT_S = 0.25
+PROBE_PAUSE_S = 0.05
 # Time without a reply after which the primary is asked to open a transaction,
 # which needs no slot and is answered at once even under load.
-SUSPECT_S = 0.25
+SUSPECT_S = 0.15
 
 
 class Evidence:
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -106,7 +106,7 @@
             return found
         await self._shared.primaries.refresh(
             context.route.group,
-            context.place_deadline,
+            context.primary_deadline,
         )
         return read_bound(context, known)
 
@@ -138,7 +138,7 @@
         while True:
             server = await self._shared.primaries.find(
                 context.route.group,
-                context.place_deadline,
+                context.primary_deadline,
             )
             if server is None:
                 return refusal
@@ -146,7 +146,7 @@
             if attempt.step is _Step.answered:
                 return attempt.answer
             refusal = attempt.answer
-            if self._shared.clock.monotonic() >= context.place_deadline:
+            if self._shared.clock.monotonic() >= context.primary_deadline:
                 return refusal
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -202,7 +202,7 @@
         server_pool = self._shared.pools.get(server)
         acquired = await server_pool.acquire(
             context.route.rank,
-            context.place_deadline,
+            context.acquire_deadline(self._shared.clock.monotonic()),
         )
         match acquired:
             case result.Err(refusal):
@@ -341,7 +341,7 @@
     """
     acquired = await shared.pools.get(server).acquire(
         context.route.rank,
-        context.place_deadline,
+        context.acquire_deadline(shared.clock.monotonic()),
     )
     match acquired:
         case result.Err(refusal):
--- a/celeryrelay/gateway/session_state.py
+++ b/celeryrelay/gateway/session_state.py
@@ -102,6 +102,24 @@
         wait_ms = min(self.route.target_ms, self.route.timeout_ms)
         return self.received_at + wait_ms * WAIT_PART / 1000
 
+    @property
+    def primary_deadline(self) -> float:
+        """Time in seconds until which the statement may wait for a primary.
+
+        A failover takes longer than the latency target of urgent work. Served
+        late is better than refused to callers that come back only twice.
+        """
+        return self.received_at + self.route.timeout_ms * WAIT_PART / 1000
+
+    def acquire_deadline(self, now: float) -> float:
+        """Return the time until which it may wait for a connection.
+
+        Args:
+            now: Time in seconds; a statement that waited for a primary still
+                gets a chance.
+        """
+        return max(self.place_deadline, now + LATE_WAIT_S)
+
     @property
     def timeout_s(self) -> float:
         """Time that a server may take for the statement."""
@@ -111,6 +129,8 @@
 # Part of the latency target that a statement may wait for a server; the rest
 # is for its work and the way back.
 WAIT_PART = 0.85
+# Time that a statement may wait for a connection once its target has passed.
+LATE_WAIT_S = 0.15
 
 
 def _too_many(what: str, limit: int) -> outcomes.NotRun:
--- a/celeryrelay/gateway/transactions.py
+++ b/celeryrelay/gateway/transactions.py
@@ -108,7 +108,7 @@
         while True:
             server = await self._shared.primaries.find(
                 context.route.group,
-                context.place_deadline,
+                context.primary_deadline,
             )
             if server is None:
                 return refusal
@@ -119,7 +119,7 @@
                     return None
                 case result.Err(refusal):
                     self._note(context, 'not opened', refusal)
-            if self._shared.clock.monotonic() >= context.place_deadline:
+            if self._shared.clock.monotonic() >= context.primary_deadline:
                 return refusal
             await asyncio.sleep(reads.RETRY_PAUSE_S)
 
@@ -153,7 +153,7 @@
         server_pool = self._shared.pools.get(server)
         acquired = await server_pool.acquire(
             context.route.rank,
-            context.place_deadline,
+            context.acquire_deadline(self._shared.clock.monotonic()),
         )
         match acquired:
             case result.Err(refusal):
@@ -255,7 +255,7 @@
         One that was not run may, if the transaction is still open or has no
         earlier statement; so may a first read whose answer was lost.
         """
-        if self._shared.clock.monotonic() >= context.place_deadline:
+        if self._shared.clock.monotonic() >= context.primary_deadline:
             return False
         match answer:
             case commands.Reply(error=error) if error and error.not_run:
--- a/celeryrelay/gateway/writes.py
+++ b/celeryrelay/gateway/writes.py
@@ -36,7 +36,7 @@
         while True:
             server = await self._shared.primaries.find(
                 context.route.group,
-                context.place_deadline,
+                context.primary_deadline,
             )
             if server is None:
                 return refusal
@@ -45,7 +45,7 @@
                 return answer
             self._note(context, server, answer)
             refusal = answer
-            if self._shared.clock.monotonic() >= context.place_deadline:
+            if self._shared.clock.monotonic() >= context.primary_deadline:
                 return refusal
             await asyncio.sleep(reads.RETRY_PAUSE_S)
 
@@ -57,7 +57,7 @@
     ) -> ports.Answer:
         acquired = await self._shared.pools.get(server).acquire(
             context.route.rank,
-            context.place_deadline,
+            context.acquire_deadline(self._shared.clock.monotonic()),
         )
         match acquired:
             case result.Err(refusal):
--- a/celeryrelay/platform/backends.py
+++ b/celeryrelay/platform/backends.py
@@ -247,7 +247,7 @@
     def status(self, reply: commands.Reply) -> commands.Status | None:
         """Return the status in a reply to `AskStatus`, None if unreadable."""
         fields = reply.last_row.split(' ')
-        if len(fields) < _STATUS_FIELDS or not fields[1].isdigit():
+        if len(fields) < _STATUS_FIELDS or not fields[1].isdecimal():
             return None
         position = wire.parse_position(fields[2], '')
         if position is None:
--- a/celeryrelay/platform/boot.py
+++ b/celeryrelay/platform/boot.py
@@ -84,7 +84,7 @@
 
 def _address(fields: dict[str, str], name: str) -> str:
     host, _, port = fields[name].rpartition(':')
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal():
         raise ValueError(
             '{0}: given {1!r}; allowed is host:port'.format(name, fields[name]),
         )
--- a/celeryrelay/platform/wire.py
+++ b/celeryrelay/platform/wire.py
@@ -19,7 +19,7 @@
 # Id of statements that the daemon issues itself.
 OWN_ID = '-'
 
-_POSITION = re.compile(r'(\d{1,18})\.(\d{1,18})')
+_POSITION = re.compile(r'([0-9]{1,18})[.]([0-9]{1,18})')
 # Lines are split at CR LF; a database could take these for a line end, too.
 _FORBIDDEN = re.compile(rb'[\r\n\0]')
 
--- a/celeryrelay/terms/replacement.py
+++ b/celeryrelay/terms/replacement.py
@@ -8,10 +8,10 @@
 import enum
 
 # Time and failures after which a daemon takes a primary as dead.
-FAILING_S = 0.45
+FAILING_S = 0.3
 FAILURES = 2
-# Time that a daemon gives each one that comes before it.
-TURN_S = 1.2
+# Time that a daemon gives each one that comes before it, enough for an order.
+TURN_S = 0.4
 # Time in which the order of another daemon may still be under way.
 OTHER_ORDER_S = 4.0
 # Time after which an order of its own is repeated.
@@ -40,7 +40,8 @@
         draining_s: Time since the primary announced that it leaves.
         complaints: Other daemons that can't reach it either.
         members: Registered daemons, this one included.
-        turn: Daemons that come before this one.
+        turn: Daemons that come before this one: of those that complain, or of
+            all if nobody does.
         own_order_s: Time since its last order for the group.
         other_order_s: Time since the last order of another daemon.
     """
@@ -81,16 +82,17 @@
 
 
 def _is_dead(facts: Facts) -> bool:
-    """Return whether most daemons agree that the primary is not reached.
+    """Return whether half of the daemons agree that it is not reached.
 
-    A primary that only some daemons can't reach serves callers that come
-    through the others.
+    A primary that only few daemons can't reach serves callers that come
+    through the others. Daemons that the store turns away can't complain, so
+    more than half would not be heard in time.
     """
     if not _is_failing(facts, FAILING_S + facts.turn * TURN_S):
         return False
     if not facts.registered:
         return True
-    return (facts.complaints + 1) * 2 > facts.members
+    return (facts.complaints + 1) * 2 >= facts.members
 
 
 def _is_failing(facts: Facts, least_s: float) -> bool:
--- a/standins/linedb/client.py
+++ b/standins/linedb/client.py
@@ -42,10 +42,9 @@
 
     async def start(self, database: str) -> Answer:
         """Open a session."""
-        self._reader, self._writer = await asyncio.open_connection(
-            '127.0.0.1',
-            self._port,
-        )
+        reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
+        self._reader = reader
+        self._writer = writer
         self.write(f'START {database} user')
         return await self._answer()
 
@@ -65,7 +64,8 @@
 
     async def _answer(self) -> Answer:
         rows: list[str] = []
-        code = proof = ''
+        code = ''
+        proof = ''
         async with asyncio.timeout(10):
             while raw := await self._reader.readline():
                 fields = raw.decode('latin-1').rstrip('\r\n').split(' ')
--- a/standins/linedb/server.py
+++ b/standins/linedb/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 from standins.linedb import group as groups
 
@@ -95,37 +96,37 @@
                 raise Refused('LAGGING')
         if self._state == 'E' and word != 'ROLLBACK':
             raise Refused('MALFORMED')
+        if word in {'READ', 'WRITE', 'EXEC', 'COMMIT'}:
+            return await self._work(request_id, word, rest, text)
+        if word == 'STEPDOWN':
+            self._step_down(int(rest))
+        if word in {'STATUS', 'STEPDOWN'}:
+            return [self._status()]
+        self._change_session(word, rest)
+        return []
+
+    def _change_session(self, word: str, rest: str) -> None:
+        name, _, setting = rest.partition(' ')
         match word:
             case 'BEGIN':
-                return self._begin(rest)
+                self._begin(rest)
             case 'ROLLBACK':
                 self._end()
-                return []
             case 'SET':
-                name, _, setting = rest.partition(' ')
                 self._variables[name] = setting
-                return []
+            case 'PREPARE':
+                self._prepared[name] = setting
             case 'RESET':
                 self._variables.clear()
                 self._prepared.clear()
-                return []
-            case 'PREPARE':
-                name, _, template = rest.partition(' ')
-                self._prepared[name] = template
-                return []
-            case 'STATUS':
-                return [self._status()]
-            case 'STEPDOWN':
-                self._step_down(int(rest))
-                return [self._status()]
-        return await self._work(request_id, word, rest, text)
-
-    def _begin(self, mode: str) -> list[str]:
+            case _:
+                raise Refused('MALFORMED')
+
+    def _begin(self, mode: str) -> None:
         if not mode and not self._server.leads:
             raise Refused('READONLY')
         self._state = 'T'
         self._plain = not mode
-        return []
 
     def _end(self) -> None:
         self._state = 'I'
@@ -195,22 +196,27 @@
         return []
 
 
-async def serve(server: groups.Server) -> asyncio.Server:
-    """Accept connections to `server` at a free port of 127.0.0.1."""
+async def _handle(
+    server: groups.Server,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    server.connections += 1
+    try:
+        with contextlib.suppress(ConnectionError):
+            await _Connection(server, reader, writer).run()
+    finally:
+        server.connections -= 1
+        writer.close()
 
-    async def handle(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        server.connections += 1
-        try:
-            with contextlib.suppress(ConnectionError):
-                await _Connection(server, reader, writer).run()
-        finally:
-            server.connections -= 1
-            writer.close()
 
-    listener = await asyncio.start_server(handle, '127.0.0.1', 0)
+async def serve(server: groups.Server) -> asyncio.Server:
+    """Accept connections to `server` at a free port of 127.0.0.1."""
+    listener = await asyncio.start_server(
+        functools.partial(_handle, server),
+        '127.0.0.1',
+        0,
+    )
     host, port = listener.sockets[0].getsockname()
     server.address = f'{host}:{port}'
     return listener
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,117 @@
+"""Guards against items of the store that stop the daemon or mislead it."""
+
+import base64
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from celeryrelay.core import ranks
+from celeryrelay.gateway import catalog
+from celeryrelay.platform import documents
+
+SERVER = {
+    'service': 'g1',
+    'addr': '10.1.2.3:80',
+    'zone': 'z1',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'db_role': 'replica',
+    'seq': 4,
+    'born': 17,
+}
+CATALOG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'd1',
+            'prefix': '/',
+            'kind': 'own',
+            'timeout_ms': 800,
+            'goal_ms': 1500,
+            'priority': 2,
+            'service': 'g1',
+            'attempts': 2,
+            'max_staleness_ms': 2500,
+        },
+    ],
+    'services': [{'name': 'g1', 'max_conns': 22, 'sync_replicas': 1}],
+    'limits': {'tx_idle_ms': 3000, 'max_header_bytes': 1},
+}
+
+
+def item(key, document, revision=5):
+    content = document
+    if not isinstance(document, bytes):
+        content = json.dumps(document).encode()
+    return documents.RawItem(
+        key=key,
+        mod_revision=revision,
+        value=base64.b64encode(content).decode(),
+    )
+
+
+def test_registration_says_what_a_server_is():
+    found = documents.decode_change(item('servers/i-1', SERVER)).ok_value
+    assert found == catalog.Server(
+        server_id='i-1',
+        group='g1',
+        address='10.1.2.3:80',
+        availability_zone='z1',
+        slots=3,
+        state=catalog.ServerState.ready,
+        role=catalog.Role.replica,
+        started_ms=17,
+        revision=5,
+    )
+
+
+@pytest.mark.parametrize(
+    ('field', 'wrong'),
+    [
+        ('service', None),
+        ('addr', 7),
+        ('addr', 'nowhere'),
+        ('state', 'asleep'),
+        ('db_role', 'king'),
+        ('born', 1.5),
+        ('slots', 'three'),
+    ],
+)
+def test_registration_with_a_wrong_field_names_the_item(field, wrong):
+    refused = documents.decode_change(
+        item('servers/i-1', {**SERVER, field: wrong}),
+    )
+    assert 'servers/i-1' in refused.err_value
+
+
+@hypothesis.settings(derandomize=True, max_examples=200)
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_bytes_are_an_item_or_a_clear_error(raw):
+    for key in ('servers/x', 'op/config', 'celeryrelay/members/x'):
+        found = documents.decode_change(item(key, raw))
+        assert found.is_err() or found.ok_value is not None
+
+
+def test_configuration_is_decoded_into_routes_and_groups():
+    found = documents.decode_change(item('op/config', CATALOG)).ok_value
+    assert found.version == 7
+    assert found.routes['d1'] == catalog.Route(
+        database='d1',
+        group='g1',
+        kind=catalog.ReadKind.session,
+        rank=ranks.Rank.reports,
+        timeout_ms=800,
+        target_ms=1500,
+        max_age_ms=2500,
+    )
+    assert found.groups['g1'] == catalog.Group('g1', 22, replicated=True)
+
+
+def test_items_of_others_are_passed_over():
+    assert documents.decode_change(item('op/other', {})).ok_value is None
+    assert documents.decode_change(item('status/x', b'?')).ok_value is None
--- /dev/null
+++ b/tests/routing/test_placement.py
@@ -0,0 +1,114 @@
+"""Guards against reads that queue at one server while others are free."""
+
+import dataclasses
+import heapq
+import random
+
+from celeryrelay.routing import placement
+
+NEAR = placement.Candidate(
+    server_id='near',
+    same_zone=True,
+    same_region=True,
+    is_primary=False,
+    expected_ms=20,
+    limit=3,
+)
+FAR = dataclasses.replace(
+    NEAR,
+    server_id='far',
+    same_zone=False,
+    same_region=False,
+)
+
+
+def chosen(*candidates):
+    return placement.choose(candidates).server_id
+
+
+def test_near_server_is_preferred_until_it_is_full():
+    assert chosen(NEAR, FAR) == 'near'
+    full = dataclasses.replace(NEAR, running=3, waiting=9)
+    assert chosen(full, FAR) == 'far'
+
+
+def test_slow_server_is_left_and_tried_again_later():
+    time = placement.ExpectedTime()
+    for _ in range(30):
+        time.on_sample(400, now=10)
+    slow = dataclasses.replace(NEAR, expected_ms=time.expected_ms(10))
+    assert chosen(slow, FAR) == 'far'
+    later = time.expected_ms(10 + placement.FORGET_S)
+    assert chosen(dataclasses.replace(NEAR, expected_ms=later), FAR) == 'near'
+
+
+def test_server_that_failed_is_used_only_if_no_other_is_left():
+    failed = dataclasses.replace(NEAR, avoided=True)
+    assert chosen(failed, FAR) == 'far'
+    assert chosen(failed) == 'near'
+    assert placement.choose(()) is None
+
+
+def test_reads_leave_the_primary_of_the_zone_when_a_replica_is_there():
+    primary = dataclasses.replace(NEAR, server_id='main', is_primary=True)
+    assert chosen(primary, NEAR) == 'near'
+
+
+def flood_served_in_time(choose, seed):
+    """Return the reads of a flood that end within 1.5 s.
+
+    Three servers with three slots each, of which one is 20 times slower; the
+    arrivals need 1.3 times the slots of the others.
+    """
+    source = random.Random(seed)
+    slots = {name: [0.0] * 3 for name in ('slow', 'fast', 'far')}
+    times = {name: placement.ExpectedTime() for name in slots}
+    ends = []
+    served = 0
+    now = 0.0
+    for _ in range(2000):
+        now += source.expovariate(130)
+        while ends and ends[0][0] <= now:
+            end, name, duration_ms = heapq.heappop(ends)
+            times[name].on_sample(duration_ms, end)
+        name = choose(
+            [
+                placement.Candidate(
+                    server_id=one,
+                    same_zone=one == 'slow',
+                    same_region=one != 'far',
+                    is_primary=False,
+                    expected_ms=times[one].expected_ms(now),
+                    limit=3,
+                    running=sum(free_at > now for free_at in slots[one]),
+                )
+                for one in slots
+            ],
+        )
+        work_s = source.expovariate(1 / 0.02) * (20 if name == 'slow' else 1)
+        begin = max(now, heapq.heappop(slots[name]))
+        heapq.heappush(slots[name], begin + work_s)
+        duration_s = begin + work_s - now
+        heapq.heappush(ends, (now + duration_s, name, duration_s * 1000))
+        served += duration_s <= 1.5
+    return served
+
+
+def test_flood_with_a_slow_near_server_is_served_elsewhere():
+    """Compares what callers get with always taking the nearest server."""
+    for seed in range(5):
+        placed = flood_served_in_time(
+            lambda found: placement.choose(found).server_id,
+            seed,
+        )
+        nearest = flood_served_in_time(
+            lambda found: (
+                min(
+                    found,
+                    key=lambda one: (not one.same_zone, not one.same_region),
+                ).server_id
+            ),
+            seed,
+        )
+        assert placed >= 1900
+        assert placed > nearest * 1.5
