Keep few idle connections and wait for open ones at a full server

Cause: after a loss of power the connections of the dead daemons are counted for 3 s; 330 new ones were refused in one second, each followed by another.

--- a/celeryrelay/gateway/pool.py
+++ b/celeryrelay/gateway/pool.py
@@ -18,7 +18,9 @@
 from celeryrelay.sessions import statements
 
 OPEN_TIMEOUT_S = 1.0
-IDLE_CLOSE_S = 30.0
+# A daemon that loses power leaves its open connections to be counted for
+# seconds, so few are kept beyond those in use.
+IDLE_CLOSE_S = 3.0
 # Times for which a server that failed gets no reads while others are left.
 FAILED_S = 0.25
 MAX_FAILED_S = 1.0
@@ -311,6 +313,9 @@
             case result.Err(problem):
                 self._open -= 1
                 if problem is commands.ConnectProblem.full:
+                    # Statements wait for the connections that are open until
+                    # the limit is set again.
+                    self._limit.resize(self._open)
                     self.on_full()
                 else:
                     self.on_failed()
