--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -245,12 +245,12 @@
                 self._registered.set()
                 self._log.info('registered', lease=lease)
             case result.Err(problem):
-                self._log.warn('not registered', problem=problem.message)
+                self._log.warning('not registered', problem=problem.message)
 
     async def _renew(self) -> None:
         match await self._adapters.store.renew(self._lease):
             case result.Ok(False):
-                self._log.warn('registration ended', lease=self._lease)
+                self._log.warning('registration ended', lease=self._lease)
                 self._registered.clear()
             case result.Err(problem):
                 self._log.info('lease not renewed', problem=problem.message)
--- a/celeryrelay/gateway/directory.py
+++ b/celeryrelay/gateway/directory.py
@@ -142,6 +142,7 @@
             self.leader(server.group).on_registered(
                 server.server_id,
                 leads,
+                before is not None and before.server.role is not server.role,
                 now,
             )
 
--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -13,6 +13,7 @@
 
 TICK_S = 0.1
 STATUS_TIMEOUT_S = 0.35
+SUSPECTED_TIMEOUT_S = 0.1
 CATCH_UP_S = 0.4
 CATCH_UP_PAUSE_S = 0.03
 # Age of the last proof after which a complaint of another daemon is checked.
@@ -104,7 +105,7 @@
         if not self._shared.directory.servers(group.name):
             return
         leader = self._shared.directory.leader(group.name)
-        self._log.warn(
+        self._log.warning(
             'primary is replaced',
             group=group.name,
             decision=decision.value,
@@ -156,21 +157,26 @@
                     self._log.info('withdrawal lost', problem=problem.message)
 
     async def _replace(self, group: catalog.Group, hands_over: bool) -> None:
-        found = await self._statuses(group.name)
+        # An order of another daemon that comes meanwhile must be seen.
+        revision = self._office_revision(group.name)
         believed = self._shared.directory.leader(group.name).server_id
+        found = await self._statuses(
+            group.name,
+            suspected='' if hands_over else believed,
+        )
         if not hands_over and _leads(found, believed):
             self._log.info('primary answers again', group=group.name)
             return
         if not self._may_choose(group, found, believed):
             return
-        office = await self._take_office(group.name)
+        office = await self._take_office(group.name, revision)
         if office is None:
             return
         if hands_over:
             found = await self._step_down(group.name, believed, found)
         chosen = self._choose(group.name, found, believed)
         if chosen is None:
-            self._log.warn('no server to promote', group=group.name)
+            self._log.warning('no server to promote', group=group.name)
             return
         await self._order(group.name, chosen, office, found)
 
@@ -200,15 +206,26 @@
             return False
         return True
 
-    async def _take_office(self, group: str) -> catalog.Office | None:
-        """Write the right to order; its revision is the fencing token."""
+    def _office_revision(self, group: str) -> int:
         known = self._shared.directory.offices.get(group)
+        return known.revision if known else 0
+
+    async def _take_office(
+        self,
+        group: str,
+        revision: int,
+    ) -> catalog.Office | None:
+        """Write the right to order; its revision is the fencing token.
+
+        Args:
+            group: Name of the database group.
+            revision: Revision of the office when the decision was made.
+        """
         office = catalog.Office(
             group,
             self._shared.options.instance,
             secrets.token_hex(8),
         )
-        revision = known.revision if known else 0
         taken = await self._store.take_office(office, revision)
         match taken:
             case result.Ok(int() as written):
@@ -302,7 +319,7 @@
         found: Statuses,
     ) -> None:
         outcome = await self._orders.promote(group, chosen, office)
-        self._log.warn(
+        self._log.warning(
             'promotion ordered',
             group=group,
             server=chosen,
@@ -320,10 +337,26 @@
             self._unfit[chosen] = now + UNFIT_S
             await self._refresh_office(group)
 
-    async def _statuses(self, group: str) -> Statuses:
+    async def _statuses(self, group: str, suspected: str = '') -> Statuses:
+        """Return the statuses of the servers that answer.
+
+        Args:
+            group: Name of the database group.
+            suspected: Server that gets less time, since it did not answer
+                for a while.
+        """
         known = [one.server for one in self._shared.directory.servers(group)]
         replies = await asyncio.gather(
-            *(self._ask(server, commands.AskStatus()) for server in known),
+            *(
+                self._ask(
+                    server,
+                    commands.AskStatus(),
+                    SUSPECTED_TIMEOUT_S
+                    if server.server_id == suspected
+                    else STATUS_TIMEOUT_S,
+                )
+                for server in known
+            ),
         )
         found: Statuses = {}
         for server, reply in zip(known, replies, strict=True):
@@ -338,11 +371,12 @@
         self,
         server: catalog.Server,
         command: commands.Command,
+        timeout_s: float = STATUS_TIMEOUT_S,
     ) -> commands.Reply | commands.Lost:
         pool = self._shared.pools.get(server)
-        deadline = self._shared.clock.monotonic() + STATUS_TIMEOUT_S
+        deadline = self._shared.clock.monotonic() + timeout_s
         try:
-            async with asyncio.timeout(STATUS_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 acquired = await pool.acquire(ranks.Rank.bookings, deadline)
         except TimeoutError:
             return commands.Lost('no connection in time')
@@ -352,7 +386,7 @@
         lease = acquired.ok_value
         future = lease.send([command])[0]
         try:
-            async with asyncio.timeout(STATUS_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 reply = await future
         except TimeoutError:
             reply = commands.Lost('no status in time')
--- a/celeryrelay/gateway/pool.py
+++ b/celeryrelay/gateway/pool.py
@@ -319,7 +319,7 @@
                     self.on_full()
                 else:
                     self.on_failed()
-                self._log.warn(
+                self._log.warning(
                     'connection not opened',
                     server=self.server.server_id,
                     problem=problem.value,
--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -76,7 +76,7 @@
     def on_request(self, request: statements.Request) -> None:
         """Take a statement of the caller."""
         if len(self._requests) >= MAX_WAITING:
-            self._log.warn('too many statements at once')
+            self._log.warning('too many statements at once')
             self.close()
             return
         self._requests.append((request, self._shared.clock.monotonic()))
--- a/celeryrelay/platform/feed.py
+++ b/celeryrelay/platform/feed.py
@@ -115,7 +115,7 @@
             case result.Ok(change):
                 return [change]
             case result.Err(problem):
-                self._log.warn('unreadable item', problem=problem)
+                self._log.warning('unreadable item', problem=problem)
         if raw.key.startswith(documents.SERVER_PREFIX):
             name = raw.key.removeprefix(documents.SERVER_PREFIX)
             return [catalog.Removed(catalog.Server, name, raw.mod_revision)]
@@ -130,7 +130,7 @@
 
     def _note_lost(self, problem: ports.StoreProblem) -> None:
         if self._state is FeedState.following:
-            self._log.warn(
+            self._log.warning(
                 'store lost',
                 problem=problem.message,
                 revision=self._revision,
--- a/celeryrelay/platform/http1.py
+++ b/celeryrelay/platform/http1.py
@@ -64,8 +64,11 @@
                 await self._connect()
                 sent = True
                 return result.Ok(await self._exchange(request, body))
-        except TimeoutError:
-            problem = 'no response within {0:.1f} s'.format(timeout_s)
+        except TimeoutError as error:
+            # The kernel reports a silent connection by the same class.
+            problem = error.strerror or (
+                'no response within {0:.1f} s'.format(timeout_s)
+            )
         except (OSError, h11.ProtocolError, EOFError) as error:
             problem = '{0}: {1}'.format(type(error).__name__, error)
         except asyncio.CancelledError:
--- a/celeryrelay/terms/leadership.py
+++ b/celeryrelay/terms/leadership.py
@@ -43,11 +43,30 @@
         """Server that is taken as the primary, empty if unknown."""
         return '' if self._belief is None else self._belief.server_id
 
-    def on_registered(self, server_id: str, leads: bool, now: float) -> bool:
-        """Note a registration whose role is new or has changed."""
-        if leads:
+    def on_registered(
+        self,
+        server_id: str,
+        leads: bool,
+        is_change: bool,
+        now: float,
+    ) -> bool:
+        """Note a registration.
+
+        A promoted server changes its role. One that registers for the first
+        time as the primary, or again, may have been replaced while it was cut
+        off; it is believed only if no other server is.
+
+        Args:
+            server_id: The server.
+            leads: Whether it says that it is the primary.
+            is_change: Whether it said something else before.
+            now: Time in seconds.
+        """
+        if not leads:
+            return self.on_denied(server_id)
+        if is_change or not self.server_id:
             return self._believe(server_id, Source.registration, now)
-        return self.on_denied(server_id)
+        return False
 
     def on_proved(self, server_id: str, now: float) -> bool:
         """Note an answer that only a primary gives."""
