--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -184,6 +184,8 @@
 
     def on_store(self, reachable: bool) -> None:
         """Note that the store answers, or does not."""
+        now = self._clock.monotonic()
+        self.shared.directory.store_lost_at = None if reachable else now
         self.shared.metrics.level('store_reachable', int(reachable))
 
     def render_metrics(self) -> bytes:
--- a/celeryrelay/gateway/directory.py
+++ b/celeryrelay/gateway/directory.py
@@ -52,6 +52,7 @@
         self.complaints: dict[str, catalog.Complaint] = {}
         self.offices: dict[str, catalog.Office] = {}
         self.office_seen: dict[str, float] = {}
+        self.store_lost_at: float | None = None
 
     def route(self, database: str) -> catalog.Route | None:
         """Return the route of a database name."""
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -82,6 +82,23 @@
         self.evidence: collections.defaultdict[str, Evidence]
         self.evidence = collections.defaultdict(Evidence)
 
+    def inputs(self, group: str) -> dict[str, typing.Any]:
+        """Return what is known of a group's primary, for log lines.
+
+        Ages are in milliseconds, None for what never happened.
+        """
+        now = self._clock.monotonic()
+        evidence = self.evidence[group]
+        newest = self.samples[group].newest
+        return {
+            'primary': self._directory.leader(group).server_id,
+            'primary_proved_ms': _age_ms(evidence.proved_at, now),
+            'primary_failing_ms': _age_ms(evidence.failing_since, now),
+            'sample': newest and '{0}.{1}'.format(newest.term, newest.offset),
+            'sample_age_ms': _age_ms(self.samples[group].newest_at, now),
+            'store_lost_ms': _age_ms(self._directory.store_lost_at, now),
+        }
+
     def on_proved(
         self,
         server: catalog.Server,
@@ -262,6 +279,10 @@
         return False
 
 
+def _age_ms(since: float | None, now: float) -> int | None:
+    return None if since is None else round((now - since) * 1000)
+
+
 async def _any_true(probes: list[asyncio.Task]) -> bool:
     for probe in asyncio.as_completed(probes):
         if await probe:
--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -53,6 +53,7 @@
         self._task: asyncio.Task | None = None
         self._transaction: transactions.Transaction | None = None
         self._failed = False
+        self._last_request = ''
         self._closed = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self._position: positions.Position | None = None
@@ -98,7 +99,12 @@
         """End an open transaction while its caller has the word."""
         if not self.waits_in_transaction:
             return
-        self._log.info('transaction ended', cause=why)
+        self._log.info(
+            'transaction ended',
+            cause=why,
+            request=self._last_request,
+            database=self._state.database,
+        )
         self._shared.metrics.event('transaction_ended')
         self._drop_transaction()
         self._failed = True
@@ -184,6 +190,12 @@
             else self._shared.directory.route(self._state.database)
         )
         if route is None:
+            self._log.info(
+                'database name has no route',
+                request=request_id,
+                database=self._state.database,
+                configuration=_version(self._shared.directory.catalog),
+            )
             self._answer(unknown_database(self._state.database))
             return
         context = session_state.Context(
@@ -193,6 +205,7 @@
             received_at=received_at,
             begun_at=transaction.begun_at if transaction else received_at,
         )
+        self._last_request = request_id
         self._task = asyncio.create_task(self._execute(context, statement))
 
     async def _execute(
@@ -287,16 +300,21 @@
             outcome,
             duration_ms,
         )
-        write = self._log.debug if outcome == 'served' else self._log.info
-        write(
-            'statement answered',
-            request=context.request_id,
-            group=route.group,
-            rank=route.rank.value,
-            outcome=outcome,
-            duration_ms=round(duration_ms, 1),
-            configuration=_version(shared.directory.catalog),
-        )
+        fields = {
+            'request': context.request_id,
+            'group': route.group,
+            'rank': route.rank.value,
+            'outcome': outcome,
+            'duration_ms': round(duration_ms, 1),
+            'configuration': _version(shared.directory.catalog),
+        }
+        if outcome == 'served':
+            self._log.debug('statement answered', **fields)
+            return
+        if not isinstance(answer, commands.Reply):
+            fields['cause'] = answer.message
+        fields.update(shared.primaries.inputs(route.group))
+        self._log.info('statement answered', **fields)
 
 
 def _version(known: catalog.Catalog | None) -> int:
--- a/celeryrelay/sessions/samples.py
+++ b/celeryrelay/sessions/samples.py
@@ -33,6 +33,11 @@
         """Latest position known, None before the first sample."""
         return self._positions[-1] if self._positions else None
 
+    @property
+    def newest_at(self) -> float | None:
+        """Time in seconds of the latest sample, None before the first one."""
+        return self._times[-1] if self._times else None
+
     def on_sample(self, sent_at: float, position: positions.Position) -> None:
         """Note that the primary answered `position`.
 
