Shorter leases and separate complaints: a failover while the store turns daemons away

Leases now last 2 s; connections of a daemon that lapsed count for 10 s, since it may run on. Refused complaints were repeated ten times a second (43 calls in 3 s); complaints about another server no longer count; a group in which all servers deny that they lead gets a primary. Ruled out: the cut-off daemons (they reach neither replicas nor store).

--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -181,6 +181,8 @@
                     revision=change.revision,
                 )
                 self._check_registration()
+                if change.kind is catalog.Complaint:
+                    self._failover.complaints.on_removed(change.name)
 
     def on_store(self, reachable: bool) -> None:
         """Note that the store answers, or does not."""
@@ -243,7 +245,7 @@
         ):
             case result.Ok(lease):
                 self._lease = lease
-                self._failover.lease = lease
+                self._failover.complaints.lease = lease
                 self._registered.set()
                 self._log.info('registered', lease=lease)
             case result.Err(problem):
--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -8,7 +8,13 @@
 
 from celeryrelay.adapters import lines
 from celeryrelay.core import ranks, rendezvous
-from celeryrelay.gateway import catalog, commands, ports, services
+from celeryrelay.gateway import (
+    catalog,
+    commands,
+    complaints,
+    ports,
+    services,
+)
 from celeryrelay.terms import replacement
 
 TICK_S = 0.1
@@ -40,10 +46,9 @@
         self._orders = orders
         self._connector = connector
         self._log = lines.get('failover')
+        self.complaints = complaints.Complaints(shared, store)
         self._running: dict[str, asyncio.Task] = {}
-        self._complaints: dict[str, catalog.Complaint] = {}
         self._unfit: dict[str, float] = {}
-        self.lease = 0
 
     async def run(self) -> typing.NoReturn:
         """Watch until cancelled."""
@@ -62,10 +67,10 @@
         shared = self._shared
         now = shared.clock.monotonic()
         evidence = shared.primaries.evidence[group]
-        believed = shared.directory.leader(group).server_id
-        known = shared.directory.known(believed or evidence.server_id)
+        suspect = self._suspect(group)
+        known = shared.directory.known(suspect)
         members = shared.directory.members.names
-        complaining = self._complaining(group)
+        complaining = self.complaints.of_others(group, suspect)
         office = shared.directory.offices.get(group)
         order_s = now - shared.directory.office_seen.get(group, now)
         is_own = office is not None and office.holder == shared.options.instance
@@ -81,24 +86,25 @@
             other_order_s=order_s if office and not is_own else None,
         )
 
+    def _suspect(self, group: str) -> str:
+        """Return the believed primary, or the last one that failed."""
+        shared = self._shared
+        believed = shared.directory.leader(group).server_id
+        return believed or shared.primaries.evidence[group].server_id
+
     def _turn(self, group: str, names: frozenset[str]) -> int:
         own = self._shared.options.instance
         order = rendezvous.top(group, names | {own}, len(names) + 1)
         return order.index(own)
 
-    def _complaining(self, group: str) -> frozenset[str]:
-        """Return the other daemons that can't reach the primary."""
-        own = self._shared.options.instance
-        return frozenset(
-            complaint.member
-            for complaint in self._shared.directory.complaints.values()
-            if complaint.group == group and complaint.member != own
-        )
-
     async def _review(self, group: catalog.Group) -> None:
         facts = self.facts(group.name)
         self._check_complaints(group.name, facts)
-        await self._share_evidence(group.name, facts)
+        await self.complaints.share(
+            group.name,
+            self._suspect(group.name),
+            facts,
+        )
         decision = replacement.decide(facts)
         if decision is replacement.Decision.wait:
             return
@@ -129,33 +135,6 @@
         if proved_s is None or proved_s > CHECK_S:
             self._shared.primaries.search(group)
 
-    async def _share_evidence(
-        self,
-        group: str,
-        facts: replacement.Facts,
-    ) -> None:
-        """Write a complaint about a silent primary, or withdraw it."""
-        complaint = self._complaints.get(group)
-        if complaint is None and replacement.is_worth_a_complaint(facts):
-            evidence = self._shared.primaries.evidence[group]
-            complaint = catalog.Complaint(
-                self._shared.options.instance,
-                group,
-                evidence.server_id,
-            )
-            self._log.info('complaint', group=group, server=complaint.server_id)
-            match await self._store.complain(complaint, self.lease):
-                case result.Ok(_):
-                    self._complaints[group] = complaint
-                case result.Err(problem):
-                    self._log.info('complaint lost', problem=problem.message)
-        elif complaint is not None and facts.failing_s is None:
-            match await self._store.withdraw(complaint):
-                case result.Ok(_):
-                    self._complaints.pop(group)
-                case result.Err(problem):
-                    self._log.info('withdrawal lost', problem=problem.message)
-
     async def _replace(self, group: catalog.Group, hands_over: bool) -> None:
         # An order of another daemon that comes meanwhile must be seen.
         revision = self._office_revision(group.name)
@@ -164,7 +143,7 @@
             group.name,
             suspected='' if hands_over else believed,
         )
-        if not hands_over and _leads(found, believed):
+        if not hands_over and any(one.leads for one in found.values()):
             self._log.info('primary answers again', group=group.name)
             return
         if not self._may_choose(group, found, believed):
@@ -400,7 +379,3 @@
 
 def _place(status: commands.Status) -> tuple[int, int]:
     return status.position.term, status.position.offset
-
-
-def _leads(found: Statuses, server_id: str) -> bool:
-    return server_id in found and found[server_id].leads
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -215,6 +215,10 @@
             finally:
                 for probe in probes:
                     probe.cancel()
+            if not self._directory.leader(group).server_id:
+                # All that answered deny that they lead.
+                now = self._clock.monotonic()
+                self.evidence[group].on_failed('', now)
             await asyncio.sleep(PROBE_PAUSE_S)
 
     def _is_worth_asking(self, group: str, known: directory.Known) -> bool:
--- a/celeryrelay/gateway/settings.py
+++ b/celeryrelay/gateway/settings.py
@@ -35,7 +35,7 @@
     stop_grace_s: float = 6
     gone_after_s: float = 2.5
     watch_wait_ms: int = 15000
-    lease_ttl_ms: int = 5000
+    lease_ttl_ms: int = 2000
     log_level: str = 'INFO'
 
     def region(self, availability_zone: str) -> str:
--- a/celeryrelay/membership/connections.py
+++ b/celeryrelay/membership/connections.py
@@ -2,8 +2,9 @@
 
 # Connections that stay free for daemons that come or ask for a status.
 RESERVED = 1
-# A daemon that dies leaves connections that the server drops after 3 s.
-DEAD_CONNECTIONS_S = 3.5
+# A daemon that dies leaves connections that the server drops after 3 s; one
+# that only the store turns away keeps using them for longer.
+LEFT_CONNECTIONS_S = 10.0
 
 
 # Least number of daemons by which the connections are divided: one that has
@@ -25,8 +26,8 @@
 class MemberCount:
     """Number of daemons by which connections are divided.
 
-    It grows as soon as a daemon appears and shrinks only when the connections
-    of a dead one are gone.
+    It grows as soon as a daemon appears and shrinks only some time after a
+    registration ended: the daemon may run on without the store.
     """
 
     def __init__(self) -> None:
@@ -53,6 +54,6 @@
     def counted(self, now: float) -> int:
         """Return the number of daemons that may have connections."""
         for name, left_at in tuple(self._left.items()):
-            if now - left_at > DEAD_CONNECTIONS_S:
+            if now - left_at > LEFT_CONNECTIONS_S:
                 self._left.pop(name)
         return len(self._members) + len(self._left)
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -411,3 +411,16 @@
     await asyncio.gather(*(call_until_refused() for _ in range(4)))
     assert await daemon.end() == 0
     assert unanswered == []
+
+
+async def test_group_without_any_primary_gets_one(start_site, connect):
+    """Guards against a handover that ended between stepping down and order."""
+    site = await start_site(daemons=2)
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 v1')).ok
+    await asyncio.sleep(0.1)
+    site.group.primary = None
+    _, gap_s = await write_until_served(client, 'i2', 'after')
+    assert gap_s < 6
+    assert site.group.primary is not None
+    assert (await client.query('READ i1')).rows == ('v1',)
--- a/tests/membership/test_connections.py
+++ b/tests/membership/test_connections.py
@@ -14,13 +14,13 @@
         assert share * members <= limit - connections.RESERVED
 
 
-def test_dead_daemon_counts_until_its_connections_are_gone():
+def test_daemon_counts_for_a_while_after_its_registration():
     counted = connections.MemberCount()
     counted.on_seen('a')
     counted.on_seen('b')
     counted.on_removed('b', now=10)
     assert counted.counted(now=11) == 2
-    assert counted.counted(now=10 + connections.DEAD_CONNECTIONS_S + 0.1) == 1
+    assert counted.counted(now=10 + connections.LEFT_CONNECTIONS_S + 0.1) == 1
     counted.on_seen('b')
     assert counted.counted(now=11) == 2
     assert counted.names == {'a', 'b'}
