--- /dev/null
+++ b/celeryrelay/gateway/on_primary.py
@@ -0,0 +1,110 @@
+"""Work on the primary of a group, through a failover if need be."""
+
+import asyncio
+import typing
+from collections import abc
+
+import result
+
+from celeryrelay.core import outcomes
+from celeryrelay.gateway import (
+    catalog,
+    commands,
+    exchange,
+    pool,
+    refusals,
+    services,
+    session_state,
+)
+
+# Pause before a statement that the primary did not run is tried again.
+RETRY_PAUSE_S = 0.03
+
+Work = typing.TypeVar('Work')
+Attempt = abc.Callable[
+    [catalog.Server],
+    abc.Awaitable[result.Result[Work, outcomes.NotRun]],
+]
+
+
+async def repeat(
+    shared: services.Services,
+    context: session_state.Context,
+    attempt: Attempt[Work],
+) -> result.Result[Work, outcomes.NotRun]:
+    """Try `attempt` at the primary until it is not refused.
+
+    Returns:
+        The last refusal once the statement may not wait any longer.
+    """
+    refusal = refusals.no_primary()
+    while True:
+        server = await shared.primaries.find(
+            context.route.group,
+            context.primary_deadline,
+        )
+        if server is None:
+            return result.Err(refusal)
+        match await attempt(server):
+            case result.Ok() as done:
+                return done
+            case result.Err(refusal):
+                if shared.clock.monotonic() >= context.primary_deadline:
+                    return result.Err(refusal)
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+
+async def acquire(
+    shared: services.Services,
+    context: session_state.Context,
+    server: catalog.Server,
+) -> result.Result[pool.Lease, outcomes.NotRun]:
+    """Wait for a connection to the primary."""
+    acquired = await shared.pools.get(server).acquire(
+        context.route.rank,
+        context.acquire_deadline(shared.clock.monotonic()),
+    )
+    match acquired:
+        case result.Err(outcomes.NotRun(outcomes.Reason.connections)):
+            shared.primaries.on_failed(server)
+    return acquired
+
+
+async def begin(
+    shared: services.Services,
+    context: session_state.Context,
+    server: catalog.Server,
+) -> result.Result[pool.Lease, outcomes.NotRun]:
+    """Open a transaction on the primary and wait for its permission.
+
+    The answer proves that the server leads. A later statement of the
+    transaction fails if it has lost the lead since, so no statement is sent
+    before: outside of the transaction, a deposed primary would run it.
+    """
+    acquired = await acquire(shared, context, server)
+    match acquired:
+        case result.Err():
+            return acquired
+    lease = acquired.ok_value
+    sent_at = shared.clock.monotonic()
+    prepared = lease.pooled.align(context.state.variables, None)
+    future = lease.send([*prepared, commands.Begin()])[-1]
+    shared.primaries.expect(server, future)
+    reply = await exchange.reply_of(
+        lease,
+        future,
+        context.timeout_s,
+        shared.clock,
+    )
+    match reply:
+        case commands.Reply(error=None):
+            shared.primaries.on_proved(server, sent_at, reply.position)
+            return result.Ok(lease)
+        case commands.Reply(error=error):
+            lease.release()
+            if error is commands.ErrorKind.not_primary:
+                shared.primaries.on_denied(server)
+            return result.Err(refusals.of_server(error))
+    lease.release(usable=False)
+    shared.primaries.on_failed(server)
+    return result.Err(refusals.silent_primary())
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import functools
 
 import result
 
@@ -13,8 +14,9 @@
     catalog,
     commands,
     exchange,
-    pool,
+    on_primary,
     ports,
+    refusals,
     services,
     session_state,
 )
@@ -23,7 +25,6 @@
 
 # Time after which a read that has no answer is sent to another server too.
 HEDGE_S = 0.25
-LAGGING_S = 0.1
 
 
 class _Step(enum.Enum):
@@ -87,7 +88,7 @@
             return await self.run_on_primary(context, statement)
         bound = await self.bound(context)
         if bound is None:
-            return _no_sample(context)
+            return refusals.no_sample(context)
         self._hedges.on_request()
         answer = await self._run_on_any(context, statement, bound)
         if isinstance(answer, outcomes.NotRun):
@@ -134,21 +135,12 @@
         statement: statements.Runnable,
     ) -> ports.Answer:
         """Run a read in a transaction that only the primary opens."""
-        refusal = no_primary(context)
-        while True:
-            server = await self._shared.primaries.find(
-                context.route.group,
-                context.primary_deadline,
-            )
-            if server is None:
-                return refusal
-            attempt = await self._try_primary(context, statement, server)
-            if attempt.step is _Step.answered:
-                return attempt.answer
-            refusal = attempt.answer
-            if self._shared.clock.monotonic() >= context.primary_deadline:
+        attempt = functools.partial(self._try_primary, context, statement)
+        match await on_primary.repeat(self._shared, context, attempt):
+            case result.Ok(answer):
+                return answer
+            case result.Err(refusal):
                 return refusal
-            await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _run_on_any(
         self,
@@ -158,7 +150,7 @@
     ) -> ports.Answer:
         tried: set[str] = set()
         running: dict[asyncio.Task, _Progress] = {}
-        answer: ports.Answer = _no_server(context)
+        answer: ports.Answer = refusals.no_server()
         may_add = True
         while True:
             server = self.choose(context, tried) if may_add else None
@@ -239,33 +231,33 @@
             case commands.Reply(error=commands.ErrorKind.lagging):
                 server_pool.on_full()
                 self._note(context, server, 'lagging')
-                return _Attempt(_Step.elsewhere, lagging(context))
+                return _Attempt(_Step.elsewhere, refusals.lagging(context))
             case commands.Reply(error=error) if error.not_run:
                 server_pool.on_full()
                 self._note(context, server, error.value)
-                return _Attempt(_Step.elsewhere, reply_refusal(error))
+                return _Attempt(_Step.elsewhere, refusals.of_server(error))
             case commands.Reply():
                 return _Attempt(_Step.answered, reply)
             case commands.Lost(problem):
                 server_pool.on_failed()
                 self._note(context, server, problem)
                 # A read has no effect, so another server may run it.
-                return _Attempt(_Step.elsewhere, _no_server(context))
+                return _Attempt(_Step.elsewhere, refusals.no_server())
             case exchange.Late():
                 server_pool.on_failed()
-                return _Attempt(_Step.answered, late())
+                return _Attempt(_Step.answered, refusals.late())
 
     async def _try_primary(
         self,
         context: session_state.Context,
         statement: statements.Runnable,
         server: catalog.Server,
-    ) -> _Attempt:
-        opened = await open_on_primary(self._shared, context, server)
+    ) -> result.Result[ports.Answer, outcomes.NotRun]:
+        opened = await on_primary.begin(self._shared, context, server)
         match opened:
             case result.Err(refusal):
                 self._note(context, server, refusal.reason.value)
-                return _Attempt(_Step.elsewhere, refusal)
+                return opened
         lease = opened.ok_value
         batch = exchange.run_commands(
             lease.pooled,
@@ -285,7 +277,10 @@
             self._shared.primaries.on_failed(server)
         elif reply.error is commands.ErrorKind.not_primary:
             self._shared.primaries.on_denied(server)
-        return self._judge(context, server, reply)
+        attempt = self._judge(context, server, reply)
+        if attempt.step is _Step.answered:
+            return result.Ok(attempt.answer)
+        return result.Err(attempt.answer)
 
     def _candidate(self, server: catalog.Server) -> placement.Candidate:
         shared = self._shared
@@ -322,114 +317,3 @@
             server=server.server_id,
             problem=problem,
         )
-
-
-# Pause before a statement of the primary is tried again.
-RETRY_PAUSE_S = 0.03
-
-
-async def open_on_primary(
-    shared: services.Services,
-    context: session_state.Context,
-    server: catalog.Server,
-) -> result.Result[pool.Lease, outcomes.NotRun]:
-    """Open a transaction on the primary and wait for its permission.
-
-    The answer proves that the server leads. A later statement of the
-    transaction fails if it has lost the lead since, so no statement is sent
-    before: outside of the transaction, a deposed primary would run it.
-    """
-    acquired = await shared.pools.get(server).acquire(
-        context.route.rank,
-        context.acquire_deadline(shared.clock.monotonic()),
-    )
-    match acquired:
-        case result.Err(refusal):
-            if refusal.reason is outcomes.Reason.connections:
-                shared.primaries.on_failed(server)
-            return acquired
-    lease = acquired.ok_value
-    sent_at = shared.clock.monotonic()
-    prepared = lease.pooled.align(context.state.variables, None)
-    future = lease.send([*prepared, commands.Begin()])[-1]
-    shared.primaries.expect(server, future)
-    reply = await exchange.reply_of(
-        lease,
-        future,
-        context.timeout_s,
-        shared.clock,
-    )
-    match reply:
-        case commands.Reply(error=None):
-            shared.primaries.on_proved(server, sent_at, reply.position)
-            return result.Ok(lease)
-        case commands.Reply(error=error):
-            lease.release()
-            if error is commands.ErrorKind.not_primary:
-                shared.primaries.on_denied(server)
-            return result.Err(reply_refusal(error))
-    lease.release(usable=False)
-    shared.primaries.on_failed(server)
-    return result.Err(
-        outcomes.NotRun(
-            outcomes.Reason.no_primary,
-            'the primary did not answer',
-        ),
-    )
-
-
-def lagging(context: session_state.Context) -> outcomes.NotRun:
-    """Return the refusal of a read that no replica is young enough for."""
-    return outcomes.NotRun(
-        outcomes.Reason.lagging,
-        'no server has data younger than {0:.0f} ms'.format(
-            context.route.max_age_ms,
-        ),
-    )
-
-
-def reply_refusal(error: commands.ErrorKind) -> outcomes.NotRun:
-    """Return the refusal for an error of a server that ran nothing."""
-    reason = {
-        commands.ErrorKind.lagging: outcomes.Reason.lagging,
-        commands.ErrorKind.not_primary: outcomes.Reason.no_primary,
-    }.get(error, outcomes.Reason.overload)
-    return outcomes.NotRun(
-        reason,
-        'the backend server refused: {0}'.format(error.value),
-    )
-
-
-def no_primary(context: session_state.Context) -> outcomes.NotRun:
-    """Return the refusal while a group has no primary."""
-    return outcomes.NotRun(
-        outcomes.Reason.no_primary,
-        'no primary answers',
-        retry_after_ms=500,
-    )
-
-
-def late() -> outcomes.OutcomeUnknown:
-    """Return the outcome of a statement that exceeded its timeout."""
-    return outcomes.OutcomeUnknown(
-        outcomes.Reason.deadline,
-        'no answer within the timeout of the route',
-    )
-
-
-def _no_sample(context: session_state.Context) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        outcomes.Reason.lagging,
-        'the position of the primary is older than {0:.0f} ms'.format(
-            context.route.max_age_ms,
-        ),
-        retry_after_ms=500,
-    )
-
-
-def _no_server(context: session_state.Context) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        outcomes.Reason.overload,
-        'no server can run the read',
-        retry_after_ms=100,
-    )
--- a/celeryrelay/gateway/transactions.py
+++ b/celeryrelay/gateway/transactions.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import functools
 
 import result
 
@@ -15,9 +16,11 @@
     catalog,
     commands,
     exchange,
+    on_primary,
     pool,
     ports,
     reads,
+    refusals,
     services,
     session_state,
 )
@@ -82,7 +85,7 @@
             self._note(context, 'repeated', answer)
             if first:
                 self.end(transaction)
-            await asyncio.sleep(reads.RETRY_PAUSE_S)
+            await asyncio.sleep(on_primary.RETRY_PAUSE_S)
 
     def end(self, transaction: Transaction, usable: bool = True) -> None:
         """Roll back what is open and give the connection back."""
@@ -104,24 +107,18 @@
             if opened is not None:
                 transaction.lease = opened
                 return None
-        refusal = reads.no_primary(context)
-        while True:
-            server = await self._shared.primaries.find(
-                context.route.group,
-                context.primary_deadline,
-            )
-            if server is None:
-                return refusal
-            opened = await reads.open_on_primary(self._shared, context, server)
-            match opened:
-                case result.Ok(lease):
-                    transaction.lease = lease
-                    return None
-                case result.Err(refusal):
-                    self._note(context, 'not opened', refusal)
-            if self._shared.clock.monotonic() >= context.primary_deadline:
+        attempt = functools.partial(
+            on_primary.begin,
+            self._shared,
+            context,
+        )
+        match await on_primary.repeat(self._shared, context, attempt):
+            case result.Ok(lease):
+                transaction.lease = lease
+                return None
+            case result.Err(refusal):
+                self._note(context, 'not opened', refusal)
                 return refusal
-            await asyncio.sleep(reads.RETRY_PAUSE_S)
 
     async def _open_anywhere(
         self,
@@ -293,7 +290,7 @@
                 'the commit was sent and its answer is missing',
             )
         if isinstance(answer, exchange.Late):
-            return reads.late()
+            return refusals.late()
         return outcomes.NotRun(
             outcomes.Reason.transaction_lost,
             'the connection of the transaction was lost before its commit',
--- a/celeryrelay/gateway/writes.py
+++ b/celeryrelay/gateway/writes.py
@@ -1,6 +1,6 @@
 """Writes outside of a transaction."""
 
-import asyncio
+import functools
 
 import result
 
@@ -10,8 +10,9 @@
     catalog,
     commands,
     exchange,
+    on_primary,
     ports,
-    reads,
+    refusals,
     services,
     session_state,
 )
@@ -32,38 +33,24 @@
         statement: statements.Runnable,
     ) -> ports.Answer:
         """Run a write; it is sent again only after a certain refusal."""
-        refusal = reads.no_primary(context)
-        while True:
-            server = await self._shared.primaries.find(
-                context.route.group,
-                context.primary_deadline,
-            )
-            if server is None:
-                return refusal
-            answer = await self._try(context, statement, server)
-            if not isinstance(answer, outcomes.NotRun):
+        attempt = functools.partial(self._try, context, statement)
+        match await on_primary.repeat(self._shared, context, attempt):
+            case result.Ok(answer):
                 return answer
-            self._note(context, server, answer)
-            refusal = answer
-            if self._shared.clock.monotonic() >= context.primary_deadline:
+            case result.Err(refusal):
                 return refusal
-            await asyncio.sleep(reads.RETRY_PAUSE_S)
 
     async def _try(
         self,
         context: session_state.Context,
         statement: statements.Runnable,
         server: catalog.Server,
-    ) -> ports.Answer:
-        acquired = await self._shared.pools.get(server).acquire(
-            context.route.rank,
-            context.acquire_deadline(self._shared.clock.monotonic()),
-        )
+    ) -> result.Result[ports.Answer, outcomes.NotRun]:
+        acquired = await on_primary.acquire(self._shared, context, server)
         match acquired:
             case result.Err(refusal):
-                if refusal.reason is outcomes.Reason.connections:
-                    self._shared.primaries.on_failed(server)
-                return refusal
+                self._note(context, server, refusal)
+                return acquired
         lease = acquired.ok_value
         batch = exchange.run_commands(lease.pooled, context, statement)
         sent_at = self._shared.clock.monotonic()
@@ -76,7 +63,11 @@
             self._shared.clock,
         )
         exchange.release(lease, reply)
-        return self._judge(context, server, reply, sent_at)
+        answer = self._judge(context, server, reply, sent_at)
+        if isinstance(answer, outcomes.NotRun):
+            self._note(context, server, answer)
+            return result.Err(answer)
+        return result.Ok(answer)
 
     def _judge(
         self,
@@ -93,9 +84,9 @@
                 return reply
             case commands.Reply(error=commands.ErrorKind.not_primary as error):
                 primaries.on_denied(server)
-                return reads.reply_refusal(error)
+                return refusals.of_server(error)
             case commands.Reply(error=error) if error.not_run:
-                return reads.reply_refusal(error)
+                return refusals.of_server(error)
             case commands.Reply():
                 return reply
         primaries.on_failed(server)
