Let mutations of the platform's daemon be caught: stricter stand-ins and tests

The stand-in replicated to a deposed primary and promoted entries that a replica had not applied; a watch at the compacted revision got no 410; the tests read in the primary's zone and left the exit no time.

--- a/standins/kvstore/service.py
+++ b/standins/kvstore/service.py
@@ -20,10 +20,12 @@
     Attributes:
         down: Whether it answers 503 to all calls.
         lose_writes: Whether changes are made and the connection ends.
+        slow_s: Time that each call takes.
     """
 
     down: bool = False
     lose_writes: bool = False
+    slow_s: float = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,6 +104,7 @@
     ) -> web.StreamResponse:
         if self.faults.down and request.path != '/promote':
             return web.Response(status=503)
+        await asyncio.sleep(self.faults.slow_s)
         response = await handler(request)
         changes = request.method == 'POST' and request.path != '/promote'
         if self.faults.lose_writes and changes:
@@ -138,7 +141,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
         while True:
-            if after < self.store.first_revision - 1:
+            if after < self.store.first_revision:
                 return web.Response(status=410)
             events = [
                 event
--- a/standins/linedb/group.py
+++ b/standins/linedb/group.py
@@ -127,14 +127,18 @@
         for key, content, request_id in writes:
             entry = Entry(position, key, content, request_id, time.monotonic())
             for server in self.servers.values():
-                if server is self.primary or not server.faults.deaf:
+                if server is self.primary or self._receives(server):
                     server.log.append(entry)
         return position
 
+    def _receives(self, server: Server) -> bool:
+        return not (server.faults.deaf or self.was_primary(server))
+
     def promote(self, server_id: str) -> None:
         """Let a server lead the next term with the log that it has."""
         self.term += 1
         old, new = self.primary, self.servers[server_id]
+        new.log = new.applied()
         if old is new:
             return
         if old is not None:
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -29,10 +29,13 @@
     connect,
 ):
     """Guards against reads of own data on a replica that lacks it."""
-    site = await start_site()
+    site = await start_site(daemons=2)
     for server in site.group.servers.values():
         server.faults.lag_s = 0.3
-    client = await connect(site.daemons[0], 'logs')
+    # The second daemon is in the availability zone of a replica.
+    client = await connect(site.daemons[1], 'logs')
+    assert (await client.query('WRITE i1 v')).ok
+    await asyncio.sleep(0.4)
     for number in range(10):
         assert (await client.query(f'WRITE i1 v{number}')).ok
         assert (await client.query('READ i1')).rows == (f'v{number}',)
@@ -193,6 +196,19 @@
     assert (await client.query('READ i3')).rows == ('-',)
 
 
+async def test_commit_whose_answer_is_lost_is_in_doubt(start_site, connect):
+    """Guards against a promise for a transaction that was committed."""
+    site = await start_site()
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('BEGIN')).ok
+    assert (await client.query('WRITE i1 v1')).ok
+    site.group.primary.faults.lose_answers = True
+    lost = await client.query('COMMIT')
+    assert (lost.code, lost.state) == ('INDOUBT', 'I')
+    site.group.primary.faults.lose_answers = False
+    assert (await client.query('READ i1')).rows == ('v1',)
+
+
 async def test_transaction_keeps_one_connection_and_ends_with_its_caller(
     start_site,
     connect,
@@ -227,11 +243,19 @@
     assert refused.code == 'NODB'
     site._version -= 9
     site.publish()
+    await asyncio.sleep(0.3)
+    refused = await clients.Client(daemon.port).start('bookings')
+    assert refused.code == 'NODB'
+    site._version -= 3
+    site.publish()
     site.service.store.compact()
     await asyncio.sleep(0.5)
+    assert 'history gone, reading all' in {
+        line['event'] for line in daemon.log()
+    }
     refused = await clients.Client(daemon.port).start('bookings')
     assert refused.code == 'NODB'
-    site._version += 9
+    site._version += 12
     site.publish()
     await asyncio.sleep(0.3)
     assert (await clients.Client(daemon.port).start('bookings')).ok
@@ -389,6 +413,8 @@
     daemon = site.daemons[0]
     for server in site.group.servers.values():
         server.faults.work_s = 0.02
+    # The exit waits for the store while callers go on.
+    site.service.faults.slow_s = 0.25
     unanswered = []
 
     async def call():
