--- a/celeryrelay/gateway/ports.py
+++ b/celeryrelay/gateway/ports.py
@@ -1,6 +1,7 @@
 """Ports of the daemon; `celeryrelay.platform` implements them."""
 
 import asyncio
+import enum
 import typing
 from collections import abc
 
@@ -131,6 +132,20 @@
         """Order that `server_id` becomes the primary of `group`."""
 
 
+class TransactionState(enum.StrEnum):
+    """State of a session between two statements.
+
+    Attributes:
+        idle: No transaction is open.
+        open: A transaction is open and usable.
+        failed: A transaction has failed and its caller has to end it.
+    """
+
+    idle = 'idle'
+    open = 'open'
+    failed = 'failed'
+
+
 Answer = commands.Reply | outcomes.NotRun | outcomes.OutcomeUnknown
 
 
@@ -140,14 +155,14 @@
     def answer(
         self,
         answer: Answer | None,
-        state: str,
+        state: TransactionState,
         position: positions.Position | None,
     ) -> None:
         """Send an answer; None for a success of the daemon itself.
 
         Args:
             answer: What the caller gets.
-            state: `idle`, `open` or `failed` transaction.
+            state: State of the session afterwards.
             position: Log position of the session's database.
         """
 
--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -262,11 +262,11 @@
             self._runners.transactions.end(transaction)
 
     def _answer(self, answer: ports.Answer | None) -> None:
-        state = 'idle'
+        state = ports.TransactionState.idle
         if self._failed:
-            state = 'failed'
+            state = ports.TransactionState.failed
         elif self._transaction is not None:
-            state = 'open'
+            state = ports.TransactionState.open
         self._caller.answer(answer, state, self._position)
 
     def _start_timer(self) -> None:
--- a/celeryrelay/management/commands/gateway.py
+++ b/celeryrelay/management/commands/gateway.py
@@ -22,6 +22,13 @@
     None,
     'Path of the settings file; by default the one that the platform names.',
 )
+_METRICS_PORT = flags.DEFINE_integer(
+    'metrics_port',
+    0,
+    'Port of the metrics page; 0 takes the first internal port.',
+    lower_bound=0,
+    upper_bound=65535,
+)
 _LOG_LEVEL = flags.DEFINE_enum(
     'log_level',
     'INFO',
@@ -38,7 +45,7 @@
 def main(_: typing.Sequence[str]) -> int:
     """Start the daemon and wait for its end."""
     path = _SETTINGS_FILE.value or boot.settings_path()
-    match boot.load(path):
+    match boot.load(path, _METRICS_PORT.value):
         case result.Ok(options):
             return _serve(options, path)
         case result.Err(message):
--- a/celeryrelay/platform/boot.py
+++ b/celeryrelay/platform/boot.py
@@ -27,10 +27,18 @@
     return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
 
 
-def load(path: str) -> result.Result[settings.Settings, str]:
+def load(
+    path: str,
+    metrics_port: int = 0,
+) -> result.Result[settings.Settings, str]:
     """Return the settings of the file at `path`.
 
     Errors name the file, the field and what is wrong with it.
+
+    Args:
+        path: Path of the file.
+        metrics_port: Port of the metrics page; 0 takes the first internal one,
+            which the platform draws anew for each start of the whole system.
     """
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
@@ -46,7 +54,7 @@
             ),
         )
     try:
-        return result.Ok(_settings(fields))
+        return result.Ok(_settings(fields, metrics_port))
     except ValueError as error:
         return result.Err('{0}: {1}'.format(path, error))
 
@@ -60,7 +68,10 @@
     return fields
 
 
-def _settings(fields: dict[str, str]) -> settings.Settings:
+def _settings(
+    fields: dict[str, str],
+    metrics_port: int,
+) -> settings.Settings:
     first_port, _, _ = fields['internal_ports'].partition(',')
     return settings.Settings(
         instance=fields['node'],
@@ -74,7 +85,7 @@
         probe_address=_address(fields, 'listen.ready'),
         metrics_address='{0}:{1}'.format(
             fields['ip'],
-            _number('internal_ports', first_port),
+            metrics_port or _number('internal_ports', first_port),
         ),
         store_address=_address(fields, 'platform.addr'),
         orders_address=_address(fields, 'cloud.addr'),
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -11,7 +11,11 @@
 from celeryrelay.platform import sockets, wire
 from celeryrelay.sessions import statements
 
-_STATES = {'idle': 'I', 'open': 'T', 'failed': 'E'}
+_STATES = {
+    ports.TransactionState.idle: 'I',
+    ports.TransactionState.open: 'T',
+    ports.TransactionState.failed: 'E',
+}
 
 
 class Opener(typing.Protocol):
@@ -75,7 +79,7 @@
     def answer(
         self,
         answer: ports.Answer | None,
-        state: str,
+        state: ports.TransactionState,
         position: positions.Position | None,
     ) -> None:
         """Send an answer; None for a success of the daemon itself."""
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -27,6 +27,8 @@
         """Run with the settings of the file at `path`."""
         self._options = options
         self._path = path
+        _, _, metrics_port = options.metrics_address.rpartition(':')
+        self._metrics_port = int(metrics_port)
         self._stop = asyncio.Event()
         self._store = stores.StoreClient(options.store_address)
         self._application = application.Application(
@@ -84,7 +86,7 @@
         return 404, _PLAIN, b''
 
     def _reload(self) -> None:
-        match boot.load(self._path):
+        match boot.load(self._path, self._metrics_port):
             case result.Ok(options):
                 self._application.reload(options)
             case result.Err(problem):
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -450,3 +450,17 @@
     assert gap_s < 6
     assert site.group.primary is not None
     assert (await client.query('READ i1')).rows == ('v1',)
+
+
+def test_metrics_port_of_the_flag_goes_before_the_settings(tmp_path):
+    """Guards against a metrics page that the deploy file does not name."""
+    from celeryrelay.platform import boot
+
+    path = tmp_path / 'boot.conf'
+    fields = {name: '10.0.0.1:80' for name in boot.REQUIRED}
+    fields.update(ip='10.0.0.1', internal_ports='7300,7315')
+    path.write_text(''.join(f'{key}={one}\n' for key, one in fields.items()))
+    drawn = boot.load(str(path)).ok_value
+    assert drawn.metrics_address == '10.0.0.1:7300'
+    fixed = boot.load(str(path), 9464).ok_value
+    assert fixed.metrics_address == '10.0.0.1:9464'
