Log internal errors and end the session instead of leaving its caller waiting

Cause: an exception in a statement's task, a review or a search was kept by the task and seen by nobody; the caller of a statement would have waited for ever. Found by reading; no run has shown one.

--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -58,9 +58,15 @@
             for group in known.groups.values() if known else ():
                 task = self._running.get(group.name)
                 if task is None or task.done():
-                    self._running[group.name] = asyncio.create_task(
-                        self._review(group),
-                    )
+                    task = asyncio.create_task(self._review(group))
+                    task.add_done_callback(self._on_reviewed)
+                    self._running[group.name] = task
+
+    def _on_reviewed(self, task: asyncio.Task) -> None:
+        """Log a review that failed; the next one follows."""
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error('review failed', error=repr(task.exception()))
+            self._shared.metrics.event('internal_error')
 
     def facts(self, group: str) -> replacement.Facts:
         """Return what is known of a group's primary."""
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -183,9 +183,15 @@
         search = self._searches.get(group)
         if search is None or search.done():
             search = asyncio.create_task(self._search(group))
+            search.add_done_callback(self._on_searched)
             self._searches[group] = search
         return search
 
+    def _on_searched(self, search: asyncio.Task) -> None:
+        """Log a search that failed; the next request starts another."""
+        if not search.cancelled() and search.exception() is not None:
+            self._log.error('search failed', error=repr(search.exception()))
+
     def stop(self) -> None:
         """End all searches."""
         for search in self._searches.values():
--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -207,6 +207,7 @@
         )
         self._last_request = request_id
         self._task = asyncio.create_task(self._execute(context, statement))
+        self._task.add_done_callback(self._on_executed)
 
     async def _execute(
         self,
@@ -226,6 +227,22 @@
         self._answer(answer)
         self._proceed()
 
+    def _on_executed(self, task: asyncio.Task) -> None:
+        """End the session if its statement failed in the daemon itself.
+
+        The caller sees a broken connection, which promises nothing.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error(
+            'statement failed in the daemon',
+            request=self._last_request,
+            error=repr(task.exception()),
+        )
+        self._shared.metrics.event('internal_error')
+        self._drop_transaction()
+        self.close()
+
     async def _answer_of(
         self,
         context: session_state.Context,
--- /dev/null
+++ b/tests/gateway/test_session.py
@@ -0,0 +1,82 @@
+"""Guards against a caller that waits for ever after an internal error."""
+
+import asyncio
+
+from celeryrelay.core import clock as clocks
+from celeryrelay.core import ranks
+from celeryrelay.gateway import application, catalog, ports
+from celeryrelay.sessions import statements
+from tests.gateway import test_failover
+
+
+class FakeCaller:
+    """Notes what it is told."""
+
+    def __init__(self):
+        self.answers = []
+        self.closed = False
+
+    def answer(self, answer, state, position):
+        self.answers.append((answer, state))
+
+    def close(self):
+        self.closed = True
+
+
+def make_session(caller):
+    made = application.Application(
+        test_failover.OPTIONS,
+        application.Adapters(None, None, None),
+        clocks.SystemClock(),
+    )
+    route = catalog.Route(
+        'd1',
+        'g1',
+        catalog.ReadKind.primary,
+        ranks.Rank.bookings,
+        800,
+        400,
+        0,
+    )
+    made.on_change(
+        catalog.Catalog(1, {'d1': route}, {'g1': test_failover.GROUP}, 3000),
+    )
+    return made.sessions.open(caller, 'd1')
+
+
+async def test_statement_that_fails_in_the_daemon_ends_the_session():
+    caller = FakeCaller()
+    session = make_session(caller)
+
+    async def fail(context, statement):
+        raise KeyError('broken')
+
+    session._runners.reader.run = fail
+    request = statements.Request('r1', statements.Run('READ x', writes=False))
+    session.on_request(request)
+    await asyncio.sleep(0.01)
+    assert caller.closed
+    assert caller.answers == []
+
+
+async def test_local_statements_are_answered_in_order_without_a_server():
+    caller = FakeCaller()
+    session = make_session(caller)
+    for number, statement in enumerate(
+        (
+            statements.SetVariable('a', '1'),
+            statements.Begin(read_only=False),
+            statements.Rollback(),
+            statements.Rollback(),
+        ),
+    ):
+        session.on_request(statements.Request(f'r{number}', statement))
+    states = [state for _, state in caller.answers]
+    assert states == [
+        ports.TransactionState.idle,
+        ports.TransactionState.open,
+        ports.TransactionState.idle,
+        ports.TransactionState.idle,
+    ]
+    refused = caller.answers[-1][0]
+    assert refused.reason.value == 'malformed'
