--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -53,6 +53,7 @@
         self._task: asyncio.Task | None = None
         self._transaction: transactions.Transaction | None = None
         self._failed = False
+        self._abort_untold = False
         self._last_request = ''
         self._closed = False
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -108,6 +109,7 @@
         self._shared.metrics.event('transaction_ended')
         self._drop_transaction()
         self._failed = True
+        self._abort_untold = True
 
     def _proceed(self) -> None:
         while self._requests and self._task is None and not self._closed:
@@ -126,9 +128,14 @@
             case statements.Rollback() if self.in_transaction:
                 self._drop_transaction()
                 self._failed = False
+                self._abort_untold = False
                 self._answer(None)
             case statements.Commit() if self._failed:
                 self._failed = False
+                self._abort_untold = False
+                self._answer(_aborted())
+            case _ if self._abort_untold:
+                self._abort_untold = False
                 self._answer(_aborted())
             case _ if self._failed:
                 self._answer(_malformed('the transaction has failed'))
--- a/tests/gateway/test_site.py
+++ b/tests/gateway/test_site.py
@@ -232,6 +232,29 @@
     assert (await other.query('READ i1')).rows == ('v2',)
 
 
+async def test_transaction_that_idles_too_long_is_aborted_and_told_so(
+    start_site,
+    connect,
+):
+    """Guards against a caller that learns nothing of what became of it.
+
+    Found while writing the operations page: the first statement after the end
+    of an idle transaction was called malformed.
+    """
+    site = await start_site()
+    site.publish(limits={'tx_idle_ms': 200})
+    await asyncio.sleep(0.3)
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('BEGIN')).ok
+    assert (await client.query('WRITE i1 v1')).ok
+    await asyncio.sleep(0.5)
+    told = await client.query('WRITE i2 v1')
+    assert (told.code, told.state) == ('ABORTED', 'E')
+    assert (await client.query('WRITE i2 v1')).code == 'MALFORMED'
+    assert (await client.query('ROLLBACK')).state == 'I'
+    assert (await client.query('READ i1')).rows == ('-',)
+
+
 async def test_older_configuration_never_returns(start_site, connect):
     """Guards against a route that comes back with an older version."""
     site = await start_site()
