Give connections their session state inside of the lease

Cause: each sender aligned variables and prepared statements on the pooled connection itself, so a lease on a connection elsewhere could not exist. Ruled out: leaving it to the senders with a copy of the state; two copies drift.

--- a/celeryrelay/gateway/exchange.py
+++ b/celeryrelay/gateway/exchange.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import dataclasses
+from collections import abc
 
 from celeryrelay.core import clock as clocks
 from celeryrelay.core import positions
-from celeryrelay.gateway import commands, pool, session_state
+from celeryrelay.gateway import (
+    commands,
+    connection_state,
+    pool,
+    session_state,
+)
 from celeryrelay.sessions import statements
 
 
@@ -17,23 +23,37 @@
 Outcome = commands.Reply | commands.Lost | Late
 
 
-def run_commands(
-    pooled: pool.Pooled,
+def send_statement(
+    lease: pool.Lease,
     context: session_state.Context,
     statement: statements.Runnable,
     bound: positions.Position | None = None,
     in_transaction: bool = False,
-) -> list[commands.Command]:
-    """Return the commands that run `statement`; its own is the last one."""
+    then: abc.Sequence[commands.Command] = (),
+) -> asyncio.Future:
+    """Send a statement with its session's state; return its reply's future.
+
+    Args:
+        lease: Connection that runs it.
+        context: Where the statement comes from.
+        statement: The statement.
+        bound: Position that the server's log has to hold.
+        in_transaction: Whether a transaction is open on the connection.
+        then: Commands that are sent behind it in the same write.
+    """
     template = None
     name = ''
     match statement:
         case statements.RunPrepared():
             template = statement.template
-            name = pool.prepared_name(template)
-    batch = pooled.align(context.state.variables, template, in_transaction)
-    batch.append(commands.Run(context.request_id, statement, name, bound))
-    return batch
+            name = connection_state.prepared_name(template)
+    needs = connection_state.SessionNeeds(
+        context.state.variables,
+        template,
+        in_transaction,
+    )
+    own = commands.Run(context.request_id, statement, name, bound)
+    return lease.send([own, *then], needs)[0]
 
 
 async def reply_of(
--- a/celeryrelay/gateway/on_primary.py
+++ b/celeryrelay/gateway/on_primary.py
@@ -10,6 +10,7 @@
 from celeryrelay.gateway import (
     catalog,
     commands,
+    connection_state,
     exchange,
     pool,
     refusals,
@@ -87,8 +88,8 @@
             return acquired
     lease = acquired.ok_value
     sent_at = shared.clock.monotonic()
-    prepared = lease.pooled.align(context.state.variables, None)
-    future = lease.send([*prepared, commands.Begin()])[-1]
+    needs = connection_state.SessionNeeds(context.state.variables)
+    future = lease.send([commands.Begin()], needs)[0]
     shared.primaries.expect(server, future)
     reply = await exchange.reply_of(
         lease,
--- a/celeryrelay/gateway/pool.py
+++ b/celeryrelay/gateway/pool.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import dataclasses
-import hashlib
 import itertools
 from collections import abc
 
@@ -14,8 +13,7 @@
 from celeryrelay.conf import sets
 from celeryrelay.core import clock as clocks
 from celeryrelay.core import outcomes, ranks
-from celeryrelay.gateway import catalog, commands, ports
-from celeryrelay.sessions import statements
+from celeryrelay.gateway import catalog, commands, connection_state, ports
 
 OPEN_TIMEOUT_S = 1.0
 # A daemon that loses power leaves its open connections to be counted for
@@ -25,8 +23,6 @@
 FAILED_S = 0.25
 MAX_FAILED_S = 1.0
 FULL_S = 0.1
-# Prepared statements that a connection keeps before it is reset.
-MAX_PREPARED = 200
 
 # Shares of the connection time under contention follow worth over work; the
 # queue keeps the first rank first up to most of the limit.
@@ -47,70 +43,12 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class Pooled:
-    """A connection with the session state that it was given."""
-
-    connection: ports.Connection
-    variables: dict[str, str] = dataclasses.field(default_factory=dict)
-    prepared: set[str] = dataclasses.field(default_factory=set)
-    idle_since: float = 0
-
-    def align(
-        self,
-        variables: abc.Mapping[str, str],
-        template: statements.Template | None,
-        in_transaction: bool = False,
-    ) -> list[commands.Command]:
-        """Return the commands that give the connection a session's state.
-
-        Args:
-            variables: Session variables of the caller.
-            template: Template that has to be prepared; None for none.
-            in_transaction: Whether a transaction of the session is open; the
-                connection was given the session's state before it.
-        """
-        found: list[commands.Command] = []
-        if not in_transaction and self._needs_reset(variables):
-            found.append(commands.Reset())
-            self.variables.clear()
-            self.prepared.clear()
-        for variable, setting in variables.items():
-            if self.variables.get(variable) != setting:
-                found.append(commands.SetVariable(variable, setting))
-                self.variables[variable] = setting
-        if template is not None:
-            found.extend(self._prepare(template))
-        return found
-
-    def _prepare(
-        self,
-        template: statements.Template,
-    ) -> list[commands.Command]:
-        name = prepared_name(template)
-        if name in self.prepared:
-            return []
-        self.prepared.add(name)
-        return [commands.Prepare(name, template)]
-
-    def _needs_reset(self, variables: abc.Mapping[str, str]) -> bool:
-        foreign = any(name not in variables for name in self.variables)
-        return foreign or len(self.prepared) > MAX_PREPARED
-
-
-def prepared_name(template: statements.Template) -> str:
-    """Return the daemon's own name for a template."""
-    text = '{0}{1}'.format('w' if template.writes else 'r', template.shape)
-    digest = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
-    return 'p{0}'.format(digest)
-
-
 @dataclasses.dataclass(slots=True)
 class Lease:
     """The right to use a connection until `release`."""
 
     pool: 'ServerPool'
-    pooled: Pooled
+    pooled: connection_state.Pooled
     ticket_id: int
     started: float
     busy_ms: float = 0
@@ -123,9 +61,17 @@
     def send(
         self,
         batch: abc.Sequence[commands.Command],
+        needs: connection_state.SessionNeeds | None = None,
     ) -> list[asyncio.Future]:
-        """Send commands in one write."""
-        return self.pooled.connection.send(batch)
+        """Send commands in one write and return a future for each reply.
+
+        Args:
+            batch: The commands.
+            needs: Session state that the connection is given before them.
+        """
+        prepared = self.pooled.align(needs) if needs else []
+        sent = self.pooled.connection.send([*prepared, *batch])
+        return sent[len(prepared) :]
 
     def release(self, usable: bool = True) -> None:
         """Give the connection back; an unusable one is closed."""
@@ -149,7 +95,9 @@
         self._clock = clock
         self._limit = limits.FixedLimit(limit)
         self._queue = queue.AdmissionQueue(POLICIES, self._limit, seed=0)
-        self._idle: collections.deque[Pooled] = collections.deque()
+        self._idle: collections.deque[connection_state.Pooled] = (
+            collections.deque()
+        )
         self._waiters: dict[int | str, asyncio.Future] = {}
         self._tickets = itertools.count()
         self._failed_s = FAILED_S
@@ -289,7 +237,7 @@
         now = self._clock.monotonic()
         return result.Ok(Lease(self, pooled, ticket.ticket_id, now))
 
-    def _take_idle(self) -> Pooled | None:
+    def _take_idle(self) -> connection_state.Pooled | None:
         while self._idle:
             pooled = self._idle.pop()
             if not pooled.connection.closed:
@@ -299,7 +247,7 @@
 
     async def _open_one(
         self,
-    ) -> result.Result[Pooled, commands.ConnectProblem]:
+    ) -> result.Result[connection_state.Pooled, commands.ConnectProblem]:
         self._open += 1
         self.opened_total += 1
         try:
@@ -309,7 +257,7 @@
             raise
         match opened:
             case result.Ok(connection):
-                return result.Ok(Pooled(connection))
+                return result.Ok(connection_state.Pooled(connection))
             case result.Err(problem):
                 self._open -= 1
                 if problem is commands.ConnectProblem.full:
@@ -328,14 +276,14 @@
                 )
                 return result.Err(problem)
 
-    def _keep(self, pooled: Pooled) -> None:
+    def _keep(self, pooled: connection_state.Pooled) -> None:
         if self._open > self.limit:
             self._close(pooled, 'fewer connections allowed')
             return
         pooled.idle_since = self._clock.monotonic()
         self._idle.append(pooled)
 
-    def _close(self, pooled: Pooled, reason: str) -> None:
+    def _close(self, pooled: connection_state.Pooled, reason: str) -> None:
         self._open -= 1
         pooled.connection.close(reason)
 
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -201,8 +201,7 @@
                 self._note(context, server, refusal.reason.value)
                 return _Attempt(_Step.elsewhere, refusal)
         lease = acquired.ok_value
-        batch = exchange.run_commands(lease.pooled, context, statement, bound)
-        future = lease.send(batch)[-1]
+        future = exchange.send_statement(lease, context, statement, bound)
         progress.sent = True
         reply = await exchange.reply_of(
             lease,
@@ -259,13 +258,13 @@
                 self._note(context, server, refusal.reason.value)
                 return opened
         lease = opened.ok_value
-        batch = exchange.run_commands(
-            lease.pooled,
+        future = exchange.send_statement(
+            lease,
             context,
             statement,
             in_transaction=True,
+            then=[commands.Rollback()],
         )
-        *_, future, _ = lease.send([*batch, commands.Rollback()])
         reply = await exchange.reply_of(
             lease,
             future,
--- a/celeryrelay/gateway/transactions.py
+++ b/celeryrelay/gateway/transactions.py
@@ -15,6 +15,7 @@
 from celeryrelay.gateway import (
     catalog,
     commands,
+    connection_state,
     exchange,
     on_primary,
     pool,
@@ -157,8 +158,8 @@
                 self._note(context, 'not opened', refusal)
                 return None
         lease = acquired.ok_value
-        prepared = lease.pooled.align(context.state.variables, None)
-        future = lease.send([*prepared, begin])[-1]
+        needs = connection_state.SessionNeeds(context.state.variables)
+        future = lease.send([begin], needs)[0]
         reply = await exchange.reply_of(
             lease,
             future,
@@ -183,19 +184,19 @@
         statement: statements.Runnable | statements.Commit,
     ) -> exchange.Outcome:
         lease = transaction.lease
+        sent_at = self._shared.clock.monotonic()
         match statement:
             case statements.Commit():
-                batch = [commands.Run(context.request_id, statement)]
+                commit = commands.Run(context.request_id, statement)
+                future = lease.send([commit])[0]
             case _:
-                batch = exchange.run_commands(
-                    lease.pooled,
+                transaction.wrote = transaction.wrote or statement.writes
+                future = exchange.send_statement(
+                    lease,
                     context,
                     statement,
                     in_transaction=True,
                 )
-                transaction.wrote = transaction.wrote or statement.writes
-        future = lease.send(batch)[-1]
-        sent_at = self._shared.clock.monotonic()
         if not transaction.may_use_replica:
             self._shared.primaries.expect(lease.server, future)
         reply = await exchange.reply_of(
--- a/celeryrelay/gateway/writes.py
+++ b/celeryrelay/gateway/writes.py
@@ -52,9 +52,8 @@
                 self._note(context, server, refusal)
                 return acquired
         lease = acquired.ok_value
-        batch = exchange.run_commands(lease.pooled, context, statement)
         sent_at = self._shared.clock.monotonic()
-        future = lease.send(batch)[-1]
+        future = exchange.send_statement(lease, context, statement)
         self._shared.primaries.expect(server, future)
         reply = await exchange.reply_of(
             lease,
