Let few daemons of a zone hold the connections to a server in large fleets

Beyond two connections a daemon, a zone's share now goes to holders (rendezvous by capacity), and others lease connections over links between daemons. Ruled out: holders in the server's zone, since a lease would cross regions twice and a zone that is cut off would lose all of them; opening on demand, since a new connection occupies a slot for 12 to 27 ms.

--- /dev/null
+++ b/celeryrelay/gateway/access.py
@@ -0,0 +1,146 @@
+"""The way of this daemon to one backend server."""
+
+import itertools
+
+import result
+
+from celeryrelay.core import clock as clocks
+from celeryrelay.core import outcomes, ranks, rendezvous
+from celeryrelay.gateway import (
+    catalog,
+    commands,
+    exchange,
+    forwarding,
+    pool,
+    ports,
+)
+from celeryrelay.membership import holders
+
+# Holders that are asked beyond those that share the work, one after the other.
+MORE_HOLDERS = 1
+
+Acquired = result.Result[ports.ConnectionLease, outcomes.NotRun]
+
+
+class ServerAccess:
+    """Leases connections of this daemon or of the server's holders."""
+
+    def __init__(
+        self,
+        own: pool.ServerPool,
+        own_name: str,
+        forwarder: forwarding.Forwarder,
+        clock: clocks.Clock,
+    ) -> None:
+        """Use the pool `own`, and `forwarder` for those of others."""
+        self.own = own
+        self.plan = holders.Plan(own.limit)
+        self._own_name = own_name
+        self._forwarder = forwarder
+        self._clock = clock
+
+    @property
+    def server(self) -> catalog.Server:
+        """The backend server."""
+        return self.own.server
+
+    @property
+    def limit(self) -> int:
+        """Connections that this daemon may use."""
+        if self.plan.is_direct:
+            return self.own.limit
+        return self.plan.limit * self.plan.width
+
+    @property
+    def running(self) -> int:
+        """Connections of this daemon in use, also by other daemons."""
+        return self.own.running
+
+    @property
+    def waiting(self) -> int:
+        """Statements that wait for an own connection."""
+        return self.own.waiting
+
+    @property
+    def avoid_until(self) -> float:
+        """Time in seconds until which the server should get no reads."""
+        return self.own.avoid_until
+
+    def on_no_reply(self, outcome: exchange.Outcome) -> None:
+        """Avoid the server for a while, longer after each missing reply."""
+        match outcome:
+            case commands.Lost(between_daemons=True):
+                # The holder of the connection failed, not the server.
+                return
+        self.own.on_failed()
+
+    def on_full(self) -> None:
+        """Avoid the server for a moment."""
+        self.own.on_full()
+
+    def follow(self, plan: holders.Plan) -> None:
+        """Work by a new plan from the next statement on."""
+        self.plan = plan
+        if plan.limit != self.own.limit:
+            self.own.resize(plan.limit)
+
+    async def acquire(self, rank: ranks.Rank, deadline: float) -> Acquired:
+        """Wait for a connection.
+
+        Args:
+            rank: Rank of the statement.
+            deadline: Time in seconds at which waiting is of no use.
+        """
+        if self.plan.is_direct:
+            return await self.own.acquire(rank, deadline)
+        refusal = outcomes.NotRun(
+            outcomes.Reason.no_holder,
+            'no daemon with a connection answers',
+        )
+        for name in self.candidates():
+            match await self._acquire_from(name, rank, deadline):
+                case result.Ok() as acquired:
+                    return acquired
+                case result.Err(refusal):
+                    if self._clock.monotonic() >= deadline:
+                        break
+        return result.Err(refusal)
+
+    async def _acquire_from(
+        self,
+        name: str,
+        rank: ranks.Rank,
+        deadline: float,
+    ) -> Acquired:
+        if name == self._own_name:
+            return await self.own.acquire(rank, deadline)
+        peer = self._forwarder.peer(name)
+        if peer is None:
+            return result.Err(
+                outcomes.NotRun(outcomes.Reason.no_holder, 'daemon gone'),
+            )
+        return await peer.acquire(self.server, rank, deadline)
+
+    def candidates(self) -> list[str]:
+        """Return the daemons to ask, best first.
+
+        The usual holders come in the order of their load. If some of them do
+        not answer, the next ones take their place.
+        """
+        usable = filter(self._is_usable, self.plan.order)
+        found = list(itertools.islice(usable, self.plan.width + MORE_HOLDERS))
+        first = sorted(found[: self.plan.width], key=self._load)
+        return (first + found[self.plan.width :]) or [self._own_name]
+
+    def _is_usable(self, name: str) -> bool:
+        if name == self._own_name:
+            return True
+        peer = self._forwarder.peer(name)
+        return peer is not None and not peer.is_avoided(self.server.server_id)
+
+    def _load(self, name: str) -> tuple[int, int]:
+        if name == self._own_name:
+            return self.own.running + self.own.waiting, 0
+        peer = self._forwarder.peer(name)
+        # The daemons of a zone begin with different holders.
+        return peer.load + 1, rendezvous.weight(self._own_name, name)
--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -14,6 +14,8 @@
     catalog,
     directory,
     failover,
+    forwarding,
+    holding,
     metrics,
     ports,
     primaries,
@@ -44,11 +46,13 @@
         store: The platform's store.
         orders: Takes promotion orders.
         connector: Opens connections to backend servers.
+        links: Opens links to other daemons.
     """
 
     store: ports.Store
     orders: ports.Orders
     connector: ports.Connector
+    links: ports.LinkConnector
 
 
 class Application:
@@ -62,7 +66,18 @@
     ) -> None:
         """Create all parts without any connection."""
         known = directory.Directory(clock, options.gone_after_s)
-        pools = services.Pools(known, adapters.connector, clock)
+        pools = services.Pools(
+            options,
+            known,
+            adapters.connector,
+            forwarding.Forwarder(
+                options.instance,
+                known,
+                adapters.links,
+                clock,
+            ),
+            clock,
+        )
         self._options = options
         self._adapters = adapters
         self._clock = clock
@@ -71,7 +86,10 @@
             options.instance,
             options.availability_zone,
             secrets.token_hex(8),
+            options.link_address,
+            options.capacity,
         )
+        self.holder = holding.Holder(known, pools.own_pool, clock)
         self._registered = asyncio.Event()
         self._lease = 0
         self._tasks: list[asyncio.Task] = []
@@ -119,11 +137,16 @@
         """
         self.stopping = True
         begun = self._clock.monotonic()
-        self._log.info('stop', sessions=len(self.sessions))
+        self._log.info(
+            'stop',
+            sessions=len(self.sessions),
+            leases=len(self.holder),
+        )
+        self.holder.leave()
         await asyncio.sleep(OUT_OF_ROTATION_S)
         stop_listening()
         aborted = False
-        while self.sessions:
+        while self.sessions or self.holder:
             age_s = self._age(begun)
             if age_s >= self._options.stop_grace_s - EXIT_RESERVE_S:
                 break
@@ -132,10 +155,12 @@
             if age_s >= half and not aborted:
                 aborted = True
                 self.sessions.abort_transactions('planned stop')
+                self.holder.end_idle(self._clock.monotonic(), 'planned stop')
             await asyncio.sleep(STOP_TICK_S)
         self._log.info(
             'stopped',
             sessions=len(self.sessions),
+            leases=len(self.holder),
             duration_s=round(self._age(begun), 2),
         )
         await self._leave()
@@ -263,6 +288,7 @@
         while True:
             await asyncio.sleep(MAINTAIN_S)
             self.shared.pools.maintain()
+            self.holder.maintain()
 
     async def _leave(self) -> None:
         for task in self._tasks:
--- a/celeryrelay/gateway/catalog.py
+++ b/celeryrelay/gateway/catalog.py
@@ -127,12 +127,17 @@
         name: Name of its instance.
         availability_zone: Where it runs.
         start: Random value of its process.
+        link_address: `host:port` at which it leases connections to others;
+            empty if it does not.
+        capacity: Processor cores that it may use.
         revision: Store revision of its registration.
     """
 
     name: str
     availability_zone: str
     start: str
+    link_address: str = ''
+    capacity: float = 1
     revision: int = 0
 
 
--- a/celeryrelay/gateway/commands.py
+++ b/celeryrelay/gateway/commands.py
@@ -135,9 +135,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
-    """The connection ended, or was given up, before the reply."""
+    """The connection ended, or was given up, before the reply.
+
+    Attributes:
+        problem: What happened.
+        between_daemons: Whether it was the connection to the daemon that holds
+            the server's connection; nothing is known of the server then.
+    """
 
     problem: str
+    between_daemons: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryrelay/gateway/connection_state.py
+++ b/celeryrelay/gateway/connection_state.py
@@ -6,11 +6,15 @@
 
 import dataclasses
 import hashlib
+import typing
 from collections import abc
 
-from celeryrelay.gateway import commands, ports
+from celeryrelay.gateway import commands
 from celeryrelay.sessions import statements
 
+if typing.TYPE_CHECKING:
+    from celeryrelay.gateway import ports
+
 # Prepared statements that a connection keeps before it is reset.
 MAX_PREPARED = 200
 
@@ -35,7 +39,7 @@
 class Pooled:
     """A connection with the session state that it was given."""
 
-    connection: ports.Connection
+    connection: 'ports.Connection'
     variables: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: set[str] = dataclasses.field(default_factory=set)
     idle_since: float = 0
--- a/celeryrelay/gateway/directory.py
+++ b/celeryrelay/gateway/directory.py
@@ -9,7 +9,7 @@
 
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import catalog
-from celeryrelay.membership import connections
+from celeryrelay.membership import connections, holders
 from celeryrelay.terms import leadership
 
 # A draining primary gets work until a promotion replaced it, but not for so
@@ -47,13 +47,29 @@
         self._gone_after_s = gone_after_s
         self._servers: dict[str, Known] = {}
         self._leaders: dict[str, leadership.Leadership] = {}
+        self._fleet: holders.Fleet | None = None
         self.catalog: catalog.Catalog | None = None
         self.members = connections.MemberCount()
+        self.daemons: dict[str, catalog.Member] = {}
         self.complaints: dict[str, catalog.Complaint] = {}
         self.offices: dict[str, catalog.Office] = {}
         self.office_seen: dict[str, float] = {}
         self.store_lost_at: float | None = None
 
+    @property
+    def fleet(self) -> holders.Fleet:
+        """The registered daemons."""
+        if self._fleet is None:
+            self._fleet = holders.Fleet(
+                holders.Daemon(
+                    member.name,
+                    member.availability_zone,
+                    member.capacity,
+                )
+                for member in self.daemons.values()
+            )
+        return self._fleet
+
     def route(self, database: str) -> catalog.Route | None:
         """Return the route of a database name."""
         return self.catalog and self.catalog.routes.get(database)
@@ -104,7 +120,7 @@
             case catalog.Server():
                 self._on_server(change, now)
             case catalog.Member():
-                self.members.on_seen(change.name)
+                self._on_member(change)
             case catalog.Complaint():
                 key = '{0}/{1}'.format(change.group, change.member)
                 self.complaints[key] = change
@@ -151,10 +167,20 @@
         if removed.kind is catalog.Server:
             self._on_server_removed(removed.name, now)
         elif removed.kind is catalog.Member:
-            self.members.on_removed(removed.name, now)
+            self._on_member_removed(removed.name, now)
         else:
             self.complaints.pop(removed.name, None)
 
+    def _on_member(self, member: catalog.Member) -> None:
+        self.members.on_seen(member.name)
+        self.daemons[member.name] = member
+        self._fleet = None
+
+    def _on_member_removed(self, name: str, now: float) -> None:
+        self.members.on_removed(name, now)
+        self.daemons.pop(name, None)
+        self._fleet = None
+
     def _on_server_removed(self, server_id: str, now: float) -> None:
         known = self._servers.get(server_id)
         if known is not None and known.gone_since is None:
--- a/celeryrelay/gateway/exchange.py
+++ b/celeryrelay/gateway/exchange.py
@@ -9,7 +9,7 @@
 from celeryrelay.gateway import (
     commands,
     connection_state,
-    pool,
+    ports,
     session_state,
 )
 from celeryrelay.sessions import statements
@@ -24,7 +24,7 @@
 
 
 def send_statement(
-    lease: pool.Lease,
+    lease: ports.ConnectionLease,
     context: session_state.Context,
     statement: statements.Runnable,
     bound: positions.Position | None = None,
@@ -57,7 +57,7 @@
 
 
 async def reply_of(
-    lease: pool.Lease,
+    lease: ports.ConnectionLease,
     future: asyncio.Future,
     timeout_s: float,
     clock: clocks.Clock,
@@ -73,7 +73,7 @@
         lease.busy_ms += (clock.monotonic() - started) * 1000
 
 
-def release(lease: pool.Lease, reply: Outcome) -> None:
+def release(lease: ports.ConnectionLease, reply: Outcome) -> None:
     """Give a connection back after the last reply that it is needed for.
 
     A connection on which a name is not prepared has another state than noted.
--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -75,8 +75,8 @@
         evidence = shared.primaries.evidence[group]
         suspect = self._suspect(group)
         known = shared.directory.known(suspect)
-        members = shared.directory.members.names
-        complaining = self.complaints.of_others(group, suspect)
+        witnesses = self._witnesses(group, suspect)
+        complaining = self.complaints.of_others(group, suspect) & witnesses
         office = shared.directory.offices.get(group)
         order_s = now - shared.directory.office_seen.get(group, now)
         is_own = office is not None and office.holder == shared.options.instance
@@ -86,8 +86,9 @@
             registered=known is not None and known.gone_since is None,
             draining_s=_age(known.draining_since, now) if known else None,
             complaints=len(complaining),
-            members=len(members | {shared.options.instance}),
-            turn=self._turn(group, complaining or members),
+            members=len(witnesses),
+            is_witness=shared.options.instance in witnesses,
+            turn=self._turn(group, complaining or witnesses),
             own_order_s=order_s if is_own else None,
             other_order_s=order_s if office and not is_own else None,
         )
@@ -98,6 +99,18 @@
         believed = shared.directory.leader(group).server_id
         return believed or shared.primaries.evidence[group].server_id
 
+    def _witnesses(self, group: str, suspect: str) -> frozenset[str]:
+        """Return the daemons that have connections of their own to a server.
+
+        The others learn of its state from these, so they say nothing new.
+        """
+        shared = self._shared
+        known = shared.directory.catalog
+        described = known.groups.get(group) if known else None
+        if described is None:
+            return frozenset((shared.options.instance,))
+        return shared.pools.witnesses(suspect, described)
+
     def _turn(self, group: str, names: frozenset[str]) -> int:
         own = self._shared.options.instance
         order = rendezvous.top(group, names | {own}, len(names) + 1)
--- a/celeryrelay/gateway/on_primary.py
+++ b/celeryrelay/gateway/on_primary.py
@@ -12,7 +12,7 @@
     commands,
     connection_state,
     exchange,
-    pool,
+    ports,
     refusals,
     services,
     session_state,
@@ -59,7 +59,7 @@
     shared: services.Services,
     context: session_state.Context,
     server: catalog.Server,
-) -> result.Result[pool.Lease, outcomes.NotRun]:
+) -> result.Result[ports.ConnectionLease, outcomes.NotRun]:
     """Wait for a connection to the primary."""
     acquired = await shared.pools.get(server).acquire(
         context.route.rank,
@@ -75,7 +75,7 @@
     shared: services.Services,
     context: session_state.Context,
     server: catalog.Server,
-) -> result.Result[pool.Lease, outcomes.NotRun]:
+) -> result.Result[ports.ConnectionLease, outcomes.NotRun]:
     """Open a transaction on the primary and wait for its permission.
 
     The answer proves that the server leads. A later statement of the
@@ -107,5 +107,5 @@
                 shared.primaries.on_denied(server)
             return result.Err(refusals.of_server(error))
     lease.release(usable=False)
-    shared.primaries.on_failed(server)
+    shared.primaries.on_no_reply(server, reply)
     return result.Err(refusals.silent_primary())
--- a/celeryrelay/gateway/ports.py
+++ b/celeryrelay/gateway/ports.py
@@ -8,7 +8,12 @@
 import result
 
 from celeryrelay.core import outcomes, positions
-from celeryrelay.gateway import catalog, commands
+from celeryrelay.gateway import (
+    catalog,
+    commands,
+    connection_state,
+    link_messages,
+)
 from celeryrelay.sessions import statements
 
 
@@ -47,6 +52,71 @@
         """Return the status in a reply to `AskStatus`, None if unreadable."""
 
 
+class ConnectionLease(typing.Protocol):
+    """The right to use a connection until `release`.
+
+    Attributes:
+        busy_ms: Time for which its commands kept the server busy.
+    """
+
+    busy_ms: float
+
+    @property
+    def server(self) -> catalog.Server:
+        """Server of the connection."""
+
+    def send(
+        self,
+        batch: abc.Sequence[commands.Command],
+        needs: connection_state.SessionNeeds | None = None,
+    ) -> list[asyncio.Future[commands.Reply | commands.Lost]]:
+        """Send commands in one write and return a future for each reply.
+
+        Args:
+            batch: The commands.
+            needs: Session state that the connection is given before them.
+        """
+
+    def release(self, usable: bool = True) -> None:
+        """Give the connection back; an unusable one is closed."""
+
+
+class Link(typing.Protocol):
+    """A connection to another daemon."""
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link has ended."""
+
+    def send(self, message: link_messages.Message) -> None:
+        """Send a message; one on an ended link is dropped."""
+
+    def close(self, problem: str) -> None:
+        """End the link at once."""
+
+
+class LinkHandler(typing.Protocol):
+    """What one end of a link does with what comes."""
+
+    def on_message(self, message: link_messages.Message) -> None:
+        """Take a message."""
+
+    def on_closed(self, problem: str) -> None:
+        """Note that the link has ended."""
+
+
+class LinkConnector(typing.Protocol):
+    """Opens links to other daemons."""
+
+    async def open(
+        self,
+        address: str,
+        handler: LinkHandler,
+        timeout_s: float,
+    ) -> result.Result[Link, str]:
+        """Connect to the daemon at `address`, `host:port`."""
+
+
 class StoreProblem(typing.NamedTuple):
     """A call to the store that gave no usable answer.
 
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -9,11 +9,11 @@
 from celeryrelay.adapters import lines
 from celeryrelay.core import clock as clocks
 from celeryrelay.core import positions, ranks
-from celeryrelay.gateway import catalog, commands, directory
+from celeryrelay.gateway import catalog, commands, directory, exchange, ports
 from celeryrelay.sessions import samples
 
 if typing.TYPE_CHECKING:
-    from celeryrelay.gateway import pool, services
+    from celeryrelay.gateway import services
 
 # Samples older than the largest age of any read are of no use.
 SAMPLE_HORIZON_S = 30
@@ -140,6 +140,18 @@
             now = self._clock.monotonic()
             self.evidence[server.group].on_failed(server.server_id, now)
 
+    def on_no_reply(
+        self,
+        server: catalog.Server,
+        outcome: exchange.Outcome,
+    ) -> None:
+        """Note that the believed primary did not reply to a command."""
+        match outcome:
+            case commands.Lost(between_daemons=True):
+                # The holder of the connection failed, not the server.
+                return
+        self.on_failed(server)
+
     def expect(self, server: catalog.Server, reply: asyncio.Future) -> None:
         """Ask whether the primary still answers if `reply` takes long."""
         asyncio.get_running_loop().call_later(
@@ -252,7 +264,7 @@
         self.on_failed(server)
         return False
 
-    async def _ask(self, lease: 'pool.Lease') -> bool:
+    async def _ask(self, lease: ports.ConnectionLease) -> bool:
         sent_at = self._clock.monotonic()
         opened, ended = lease.send([commands.Begin(), commands.Rollback()])
         try:
@@ -269,7 +281,7 @@
 
     def _judge(
         self,
-        lease: 'pool.Lease',
+        lease: ports.ConnectionLease,
         reply: commands.Reply | commands.Lost,
         sent_at: float,
     ) -> bool:
@@ -285,7 +297,7 @@
                 lease.release()
             case commands.Lost():
                 lease.release(usable=False)
-                self.on_failed(lease.server)
+                self.on_no_reply(lease.server, reply)
         return False
 
 
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -238,12 +238,12 @@
             case commands.Reply():
                 return _Attempt(_Step.answered, reply)
             case commands.Lost(problem):
-                server_pool.on_failed()
+                server_pool.on_no_reply(reply)
                 self._note(context, server, problem)
                 # A read has no effect, so another server may run it.
                 return _Attempt(_Step.elsewhere, refusals.no_server())
             case exchange.Late():
-                server_pool.on_failed()
+                server_pool.on_no_reply(reply)
                 return _Attempt(_Step.answered, refusals.late())
 
     async def _try_primary(
@@ -273,7 +273,7 @@
         )
         exchange.release(lease, reply)
         if not isinstance(reply, commands.Reply):
-            self._shared.primaries.on_failed(server)
+            self._shared.primaries.on_no_reply(server, reply)
         elif reply.error is commands.ErrorKind.not_primary:
             self._shared.primaries.on_denied(server)
         attempt = self._judge(context, server, reply)
--- a/celeryrelay/gateway/services.py
+++ b/celeryrelay/gateway/services.py
@@ -5,15 +5,17 @@
 
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import (
+    access,
     catalog,
     directory,
+    forwarding,
     pool,
     ports,
     primaries,
     settings,
 )
 from celeryrelay.gateway import metrics as gateway_metrics
-from celeryrelay.membership import connections as shares
+from celeryrelay.membership import holders
 from celeryrelay.routing import placement
 
 # Time after the start until which more daemons may register, and the number
@@ -23,64 +25,95 @@
 
 
 class Pools:
-    """Pools of all servers, created when they are first used."""
+    """Ways to all servers, created when they are first used."""
 
     def __init__(
         self,
+        options: settings.Settings,
         known: directory.Directory,
         connector: ports.Connector,
+        forwarder: forwarding.Forwarder,
         clock: clocks.Clock,
     ) -> None:
-        """Open connections with `connector`."""
+        """Open connections with `connector`, or use those of holders."""
+        self._options = options
         self._directory = known
         self._connector = connector
+        self._forwarder = forwarder
         self._clock = clock
         self._started = clock.monotonic()
-        self._pools: dict[str, pool.ServerPool] = {}
+        self._accesses: dict[str, access.ServerAccess] = {}
         self.expected = collections.defaultdict(placement.ExpectedTime)
 
-    def get(self, server: catalog.Server) -> pool.ServerPool:
-        """Return the pool of a server; a restarted server gets a new one."""
-        found = self._pools.get(server.server_id)
+    def get(self, server: catalog.Server) -> access.ServerAccess:
+        """Return the way to a server; a restarted server gets a new one."""
+        found = self._accesses.get(server.server_id)
         if found is not None and _is_same(found.server, server):
             return found
         if found is not None:
-            found.close()
-        created = pool.ServerPool(
-            server,
-            self._connector,
+            found.own.close()
+        created = access.ServerAccess(
+            pool.ServerPool(server, self._connector, self._clock, limit=1),
+            self._options.instance,
+            self._forwarder,
             self._clock,
-            self._limit(server.group),
         )
-        self._pools[server.server_id] = created
+        created.follow(self._plan(server))
+        self._accesses[server.server_id] = created
         return created
 
+    def own_pool(self, server_id: str) -> pool.ServerPool | None:
+        """Return the own connections to a server, None if it is unknown."""
+        known = self._directory.known(server_id)
+        return self.get(known.server).own if known else None
+
     def maintain(self) -> None:
-        """Apply the share of connections and close idle ones."""
+        """Follow the fleet's changes and close idle connections."""
         for server_id in self._directory.forget_gone():
-            gone = self._pools.pop(server_id, None)
+            gone = self._accesses.pop(server_id, None)
             if gone is not None:
-                gone.close()
-        for server_pool in self._pools.values():
-            limit = self._limit(server_pool.server.group)
-            if limit != server_pool.limit:
-                server_pool.resize(limit)
-            server_pool.close_idle()
+                gone.own.close()
+        for found in self._accesses.values():
+            found.follow(self._plan(found.server))
+            found.own.close_idle()
+        self._forwarder.maintain()
 
     def opened_total(self) -> int:
         """Return the connections opened so far to the present servers."""
-        return sum(found.opened_total for found in self._pools.values())
+        return sum(found.own.opened_total for found in self._accesses.values())
+
+    def witnesses(
+        self,
+        server_id: str,
+        group: catalog.Group,
+    ) -> frozenset[str]:
+        """Return the daemons that have connections of their own to a server."""
+        fleet = self._directory.fleet
+        counted = self._counted()
+        limit = group.connection_limit
+        if holders.is_direct(limit, counted):
+            return fleet.names | {self._options.instance}
+        return fleet.holders(server_id, limit)
 
-    def _limit(self, group_name: str) -> int:
+    def _plan(self, server: catalog.Server) -> holders.Plan:
         known = self._directory.catalog
-        group = known.groups.get(group_name) if known else None
+        group = known.groups.get(server.group) if known else None
         if group is None:
-            return 1
+            return holders.Plan(limit=1)
+        return self._directory.fleet.plan(
+            server.server_id,
+            group.connection_limit,
+            self._counted(),
+            self._options.availability_zone,
+        )
+
+    def _counted(self) -> int:
+        """Return the number of daemons that may have connections."""
         now = self._clock.monotonic()
         counted = self._directory.members.counted(now)
         if now - self._started < SETTLE_S:
-            counted = max(counted, UNSETTLED_MEMBERS)
-        return shares.share(group.connection_limit, counted)
+            return max(counted, UNSETTLED_MEMBERS)
+        return counted
 
 
 def _is_same(left: catalog.Server, right: catalog.Server) -> bool:
--- a/celeryrelay/gateway/settings.py
+++ b/celeryrelay/gateway/settings.py
@@ -14,6 +14,8 @@
         caller_address: `host:port` for callers.
         probe_address: `host:port` for the load balancer's health checks.
         metrics_address: `host:port` for metrics.
+        link_address: `host:port` at which other daemons use connections of
+            this one.
         store_address: `host:port` of the platform's store.
         orders_address: `host:port` that takes promotion orders.
         stop_grace_s: Time between the signal to stop and the kill.
@@ -21,6 +23,7 @@
             taken as gone.
         watch_wait_ms: Longest wait of a watch at the store.
         lease_ttl_ms: Time after which the store forgets a silent daemon.
+        capacity: Processor cores that it may use.
         log_level: Least level of log lines.
     """
 
@@ -30,12 +33,14 @@
     caller_address: str
     probe_address: str
     metrics_address: str
+    link_address: str
     store_address: str
     orders_address: str
     stop_grace_s: float = 6
     gone_after_s: float = 2.5
     watch_wait_ms: int = 15000
     lease_ttl_ms: int = 2000
+    capacity: float = 1
     log_level: str = 'INFO'
 
     def region(self, availability_zone: str) -> str:
--- a/celeryrelay/gateway/transactions.py
+++ b/celeryrelay/gateway/transactions.py
@@ -18,7 +18,6 @@
     connection_state,
     exchange,
     on_primary,
-    pool,
     ports,
     reads,
     refusals,
@@ -43,7 +42,7 @@
     read_only: bool
     route: catalog.Route
     begun_at: float
-    lease: pool.Lease | None = None
+    lease: ports.ConnectionLease | None = None
     wrote: bool = False
 
     @property
@@ -124,7 +123,7 @@
     async def _open_anywhere(
         self,
         context: session_state.Context,
-    ) -> pool.Lease | None:
+    ) -> ports.ConnectionLease | None:
         """Open a transaction on a server that holds the read bound."""
         bound = await self._reader.bound(context)
         tried: set[str] = set()
@@ -147,7 +146,7 @@
         context: session_state.Context,
         server: catalog.Server,
         begin: commands.Begin,
-    ) -> pool.Lease | None:
+    ) -> ports.ConnectionLease | None:
         server_pool = self._shared.pools.get(server)
         acquired = await server_pool.acquire(
             context.route.rank,
@@ -173,7 +172,7 @@
                 server_pool.on_full()
                 lease.release()
                 return None
-        server_pool.on_failed()
+        server_pool.on_no_reply(reply)
         lease.release(usable=False)
         return None
 
@@ -208,7 +207,7 @@
         if isinstance(reply, commands.Reply) and reply.error is None:
             self._on_success(transaction, context, statement, reply, sent_at)
         elif not isinstance(reply, commands.Reply):
-            self._on_broken(transaction, lease.server)
+            self._on_broken(transaction, reply)
         elif reply.error is commands.ErrorKind.not_primary:
             self._shared.primaries.on_denied(lease.server)
         return reply
@@ -233,12 +232,13 @@
     def _on_broken(
         self,
         transaction: Transaction,
-        server: catalog.Server,
+        outcome: exchange.Outcome,
     ) -> None:
+        server = transaction.lease.server
         if transaction.may_use_replica:
-            self._shared.pools.get(server).on_failed()
+            self._shared.pools.get(server).on_no_reply(outcome)
         else:
-            self._shared.primaries.on_failed(server)
+            self._shared.primaries.on_no_reply(server, outcome)
         self.end(transaction, usable=False)
 
     def _may_repeat(
--- a/celeryrelay/gateway/writes.py
+++ b/celeryrelay/gateway/writes.py
@@ -88,7 +88,7 @@
                 return refusals.of_server(error)
             case commands.Reply():
                 return reply
-        primaries.on_failed(server)
+        primaries.on_no_reply(server, reply)
         self._log.info(
             'outcome of a write unknown',
             request=context.request_id,
--- a/celeryrelay/platform/backends.py
+++ b/celeryrelay/platform/backends.py
@@ -9,7 +9,8 @@
 
 from celeryrelay.core import positions
 from celeryrelay.gateway import catalog, commands
-from celeryrelay.platform import sockets, wire
+from celeryrelay.adapters import sockets
+from celeryrelay.platform import wire
 from celeryrelay.sessions import statements
 
 CALLER_NAME = 'celeryrelay'
--- a/celeryrelay/platform/boot.py
+++ b/celeryrelay/platform/boot.py
@@ -72,7 +72,15 @@
     fields: dict[str, str],
     metrics_port: int,
 ) -> settings.Settings:
-    first_port, _, _ = fields['internal_ports'].partition(',')
+    first_port, _, last_port = fields['internal_ports'].partition(',')
+    link_port = _number('internal_ports', last_port or first_port)
+    if not metrics_port:
+        metrics_port = _number('internal_ports', first_port)
+    if link_port == metrics_port:
+        raise ValueError(
+            'internal_ports: given {0!r}; allowed are two ports, one for '
+            'metrics and one for links'.format(fields['internal_ports']),
+        )
     return settings.Settings(
         instance=fields['node'],
         availability_zone=fields['zone'],
@@ -83,16 +91,22 @@
         },
         caller_address=_address(fields, 'listen.front'),
         probe_address=_address(fields, 'listen.ready'),
-        metrics_address='{0}:{1}'.format(
-            fields['ip'],
-            metrics_port or _number('internal_ports', first_port),
-        ),
+        metrics_address='{0}:{1}'.format(fields['ip'], metrics_port),
+        link_address='{0}:{1}'.format(fields['ip'], link_port),
         store_address=_address(fields, 'platform.addr'),
         orders_address=_address(fields, 'cloud.addr'),
+        capacity=_capacity(fields),
         stop_grace_s=_number('bounds.grace_s', fields.get('bounds.grace_s', 6)),
     )
 
 
+def _capacity(fields: dict[str, str]) -> float:
+    """Return the cores that the process may use, one if nothing is said."""
+    share = _number('limits.cpu_share', fields.get('limits.cpu_share') or 1)
+    speed = _number('limits.cores', fields.get('limits.cores') or 1)
+    return share * speed
+
+
 def _address(fields: dict[str, str], name: str) -> str:
     host, _, port = fields[name].rpartition(':')
     if not host or not port.isdecimal():
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -8,7 +8,8 @@
 
 from celeryrelay.core import outcomes, positions
 from celeryrelay.gateway import commands, ports
-from celeryrelay.platform import sockets, wire
+from celeryrelay.adapters import sockets
+from celeryrelay.platform import wire
 from celeryrelay.sessions import statements
 
 _STATES = {
--- a/celeryrelay/platform/documents.py
+++ b/celeryrelay/platform/documents.py
@@ -92,6 +92,8 @@
 
     zone: str
     start: str
+    link_address: str = ''
+    capacity: float = 1
 
 
 class RawComplaint(msgspec.Struct):
@@ -206,7 +208,20 @@
 
 def _decode_member(name: str, body: bytes, revision: int) -> catalog.Member:
     raw = msgspec.json.decode(body, type=RawMember)
-    return catalog.Member(name, raw.zone, raw.start, revision)
+    if raw.link_address and not _ADDRESS.fullmatch(raw.link_address):
+        raise ValueError(
+            'link address {0!r} is not host:port'.format(raw.link_address),
+        )
+    if not raw.capacity > 0:
+        raise ValueError('capacity {0} is not above 0'.format(raw.capacity))
+    return catalog.Member(
+        name,
+        raw.zone,
+        raw.start,
+        raw.link_address,
+        raw.capacity,
+        revision,
+    )
 
 
 def _decode_complaint(
--- a/celeryrelay/platform/http1.py
+++ b/celeryrelay/platform/http1.py
@@ -9,7 +9,7 @@
 import h11
 import result
 
-from celeryrelay.platform import sockets
+from celeryrelay.adapters import sockets
 
 READ_BYTES = 65536
 
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -8,7 +8,7 @@
 
 import result
 
-from celeryrelay.adapters import lines
+from celeryrelay.adapters import lines, links
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import application, settings
 from celeryrelay.gateway import metrics as gateway_metrics
@@ -37,6 +37,7 @@
                 self._store,
                 orders.OrderClient(options.orders_address),
                 backends.Connector(),
+                links.LinkConnector(),
             ),
             clocks.SuspendAwareClock(),
         )
@@ -51,7 +52,13 @@
             self._application.sessions,
             self._options.caller_address,
         )
-        pages = await self._listen_pages()
+        listeners = await self._listen_pages()
+        listeners.append(
+            await links.listen(
+                self._application.holder.accept,
+                self._options.link_address,
+            ),
+        )
         follower = feed.Feed(
             self._store,
             self._application,
@@ -64,7 +71,7 @@
         await self._stop.wait()
         await self._application.stop(callers_listener.close)
         watching.cancel()
-        for listener in pages:
+        for listener in listeners:
             listener.close()
 
     async def _listen_pages(self) -> list[asyncio.Server]:
--- a/celeryrelay/platform/store.py
+++ b/celeryrelay/platform/store.py
@@ -150,7 +150,12 @@
         put = Put(
             documents.MEMBER_PREFIX + member.name,
             documents.encode_value(
-                documents.RawMember(member.availability_zone, member.start),
+                documents.RawMember(
+                    member.availability_zone,
+                    member.start,
+                    member.link_address,
+                    member.capacity,
+                ),
             ),
             lease.ok_value.lease,
         )
--- a/celeryrelay/terms/replacement.py
+++ b/celeryrelay/terms/replacement.py
@@ -39,7 +39,9 @@
         registered: Whether the primary's registration exists.
         draining_s: Time since the primary announced that it leaves.
         complaints: Other daemons that can't reach it either.
-        members: Registered daemons, this one included.
+        members: Daemons with connections of their own to the primary.
+        is_witness: Whether this daemon is one of them. Only they complain and
+            decide: the others learn from them that it is not reached.
         turn: Daemons that come before this one: of those that complain, or of
             all if nobody does.
         own_order_s: Time since its last order for the group.
@@ -52,6 +54,7 @@
     draining_s: float | None = None
     complaints: int = 0
     members: int = 1
+    is_witness: bool = True
     turn: int = 0
     own_order_s: float | None = None
     other_order_s: float | None = None
@@ -59,7 +62,7 @@
 
 def decide(facts: Facts) -> Decision:
     """Return what to do about the primary."""
-    if _is_order_under_way(facts):
+    if not facts.is_witness or _is_order_under_way(facts):
         return Decision.wait
     if _is_dead(facts):
         return Decision.replace
@@ -71,7 +74,7 @@
 
 def is_worth_a_complaint(facts: Facts) -> bool:
     """Return whether other daemons should know that it is not reached."""
-    return _is_failing(facts, FAILING_S)
+    return facts.is_witness and _is_failing(facts, FAILING_S)
 
 
 def _is_order_under_way(facts: Facts) -> bool:
--- a/standins/kvstore/site.py
+++ b/standins/kvstore/site.py
@@ -50,6 +50,7 @@
         self.port = free_port()
         self.probe_port = free_port()
         self.metrics_port = free_port()
+        self.link_port = free_port()
         self.settings_path = directory / f'{name}.conf'
         self.log_path = directory / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
@@ -60,7 +61,7 @@
             'ip': '127.0.0.1',
             'listen.front': f'127.0.0.1:{self.port}',
             'listen.ready': f'127.0.0.1:{self.probe_port}',
-            'internal_ports': f'{self.metrics_port},{self.metrics_port}',
+            'internal_ports': f'{self.metrics_port},{self.link_port}',
             'platform.addr': store,
             'cloud.addr': store,
             'bounds.grace_s': '6',
--- a/tests/gateway/test_complaints.py
+++ b/tests/gateway/test_complaints.py
@@ -46,7 +46,7 @@
 
     made = application.Application(
         test_failover.OPTIONS,
-        application.Adapters(store, None, None),
+        application.Adapters(store, None, None, None),
         clock,
     )
     return complaints.Complaints(made.shared, store)
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -16,6 +16,7 @@
     caller_address='',
     probe_address='',
     metrics_address='',
+    link_address='',
     store_address='',
     orders_address='',
 )
@@ -122,7 +123,7 @@
 async def daemon(store, orders):
     made = application.Application(
         OPTIONS,
-        application.Adapters(store, orders, FakeConnector()),
+        application.Adapters(store, orders, FakeConnector(), None),
         clocks.SystemClock(),
     )
     for item in (
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -26,7 +26,7 @@
 def make_session(caller):
     made = application.Application(
         test_failover.OPTIONS,
-        application.Adapters(None, None, None),
+        application.Adapters(None, None, None, None),
         clocks.SystemClock(),
     )
     route = catalog.Route(
