Pace watches and leases by the fleet's size; let holders look after a primary for others

In a fleet with holders a dead primary stayed: the one daemon with traffic is no holder, and the holders had no traffic of their own (tests/gateway/test_holders_site.py failed: not served within 6 s). Ruled out: all daemons as witnesses, 37 complaints for each failover.

--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -23,6 +23,7 @@
     sessions,
     settings,
 )
+from celeryrelay.membership import pacing
 
 MAINTAIN_S = 0.25
 RENEW_PART = 0.3
@@ -89,9 +90,9 @@
             options.link_address,
             options.capacity,
         )
-        self.holder = holding.Holder(known, pools.own_pool, clock)
         self._registered = asyncio.Event()
         self._lease = 0
+        self._lease_ttl_ms = 0
         self._tasks: list[asyncio.Task] = []
         self.stopping = False
         self.shared = services.Services(
@@ -103,6 +104,12 @@
             metrics=metrics.Metrics(),
         )
         self.sessions = sessions.Sessions(self.shared)
+        self.holder = holding.Holder(
+            known,
+            pools.own_pool,
+            self.shared.primaries.suspect,
+            clock,
+        )
         self._failover = failover.Failover(
             self.shared,
             adapters.store,
@@ -115,6 +122,11 @@
         """Whether the daemon should get new callers."""
         return self.shared.directory.catalog is not None and not self.stopping
 
+    @property
+    def watch_pause_s(self) -> float:
+        """Time in seconds between two watches of the store."""
+        return pacing.watch_pause_s(len(self.shared.directory.daemons))
+
     def start(self, feed: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
         """Start the tasks; `feed` passes the store's changes on."""
         self._log.info('start', **dataclasses.asdict(self._options))
@@ -248,31 +260,48 @@
 
     async def _register(self) -> typing.NoReturn:
         """Keep the daemon's registration alive."""
-        renew_s = self._options.lease_ttl_ms * RENEW_PART / 1000
         while True:
+            if self._is_lease_too_short():
+                self._registered.clear()
             if not self._registered.is_set():
                 await self._register_once()
             try:
-                async with asyncio.timeout(renew_s):
+                async with asyncio.timeout(
+                    self._lease_ttl_ms * RENEW_PART / 1000,
+                ):
                     await self._until_lost()
             except TimeoutError:
                 await self._renew()
 
+    def _is_lease_too_short(self) -> bool:
+        members = len(self.shared.directory.daemons)
+        registered = self._registered.is_set()
+        return registered and pacing.should_replace_lease(
+            self._lease_ttl_ms,
+            members,
+        )
+
     async def _until_lost(self) -> None:
         while self._registered.is_set():
             await asyncio.sleep(RETRY_S)
         await asyncio.sleep(RETRY_S)
 
     async def _register_once(self) -> None:
+        members = len(self.shared.directory.daemons)
+        self._lease_ttl_ms = pacing.lease_ttl_ms(members)
         match await self._adapters.store.register(
             self._member,
-            self._options.lease_ttl_ms,
+            self._lease_ttl_ms,
         ):
             case result.Ok(lease):
                 self._lease = lease
                 self._failover.complaints.lease = lease
                 self._registered.set()
-                self._log.info('registered', lease=lease)
+                self._log.info(
+                    'registered',
+                    lease=lease,
+                    ttl_ms=self._lease_ttl_ms,
+                )
             case result.Err(problem):
                 self._log.warning('not registered', problem=problem.message)
 
--- a/celeryrelay/gateway/holding.py
+++ b/celeryrelay/gateway/holding.py
@@ -11,6 +11,7 @@
 from celeryrelay.core import clock as clocks
 from celeryrelay.core import outcomes
 from celeryrelay.gateway import (
+    catalog,
     commands,
     directory,
     link_messages,
@@ -41,6 +42,7 @@
 
 
 OwnPool = abc.Callable[[str], pool.ServerPool | None]
+OnTrouble = abc.Callable[[catalog.Server], None]
 
 
 class _User:
@@ -127,6 +129,8 @@
                 self._link.send(link_messages.Granted(request.lease_id))
             case result.Err(refusal):
                 self._refuse(request.lease_id, refusal)
+                if refusal.reason is outcomes.Reason.connections:
+                    self._holder.on_trouble(own_pool.server)
 
     def _on_acquired(self, lease_id: int, task: asyncio.Task) -> None:
         self._acquiring.pop(lease_id, None)
@@ -185,8 +189,11 @@
         if acquiring is not None:
             acquiring.cancel()
         held = self._held.pop(lease_id, None)
-        if held is not None:
-            held.lease.release(usable)
+        if held is None:
+            return
+        held.lease.release(usable)
+        if held.waiting and not usable:
+            self._holder.on_trouble(held.lease.server)
 
 
 class Holder:
@@ -196,6 +203,7 @@
         self,
         known: directory.Directory,
         own_pool: OwnPool,
+        on_trouble: OnTrouble,
         clock: clocks.Clock,
     ) -> None:
         """Lease connections of the pools that `own_pool` returns.
@@ -204,10 +212,13 @@
             known: For the limit of idle transactions.
             own_pool: Returns the pool of a backend server, None if the server
                 is unknown.
+            on_trouble: Called with a server that gave others no connection or
+                no reply. Holders are the first to learn that it is dead.
             clock: Source of the time.
         """
         self.clock = clock
         self.own_pool = own_pool
+        self.on_trouble = on_trouble
         self._directory = known
         self._users: set[_User] = set()
         self._is_leaving = False
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -156,7 +156,7 @@
         """Ask whether the primary still answers if `reply` takes long."""
         asyncio.get_running_loop().call_later(
             SUSPECT_S,
-            self._suspect,
+            self._check_reply,
             server,
             reply,
         )
@@ -209,10 +209,19 @@
         for search in self._searches.values():
             search.cancel()
 
-    def _suspect(self, server: catalog.Server, reply: asyncio.Future) -> None:
-        if not reply.done() and self._is_believed(server):
+    def suspect(self, server: catalog.Server) -> None:
+        """Ask whether a server still leads, if it is the believed primary."""
+        if self._is_believed(server):
             self.search(server.group)
 
+    def _check_reply(
+        self,
+        server: catalog.Server,
+        reply: asyncio.Future,
+    ) -> None:
+        if not reply.done():
+            self.suspect(server)
+
     def _is_believed(self, server: catalog.Server) -> bool:
         leader = self._directory.leader(server.group)
         return leader.server_id == server.server_id
--- a/celeryrelay/gateway/settings.py
+++ b/celeryrelay/gateway/settings.py
@@ -22,7 +22,6 @@
         gone_after_s: Time after which a server that lost its registration is
             taken as gone.
         watch_wait_ms: Longest wait of a watch at the store.
-        lease_ttl_ms: Time after which the store forgets a silent daemon.
         capacity: Processor cores that it may use.
         log_level: Least level of log lines.
     """
@@ -38,8 +37,7 @@
     orders_address: str
     stop_grace_s: float = 6
     gone_after_s: float = 2.5
-    watch_wait_ms: int = 15000
-    lease_ttl_ms: int = 2000
+    watch_wait_ms: int = 28000
     capacity: float = 1
     log_level: str = 'INFO'
 
--- a/celeryrelay/platform/feed.py
+++ b/celeryrelay/platform/feed.py
@@ -27,6 +27,10 @@
 class Follower(typing.Protocol):
     """Takes what the feed reads."""
 
+    @property
+    def watch_pause_s(self) -> float:
+        """Time in seconds between two watches."""
+
     def on_snapshot(self, items: abc.Sequence[catalog.Change]) -> None:
         """Take all items of the store; others no longer exist."""
 
@@ -83,6 +87,7 @@
                     for change in self._decode(raw):
                         self._follower.on_change(change)
                 self._revision = max(self._revision, revision)
+                await asyncio.sleep(self._follower.watch_pause_s)
             case result.Err(problem):
                 return result.Err(problem)
         return result.Ok(None)
--- a/standins/kvstore/site.py
+++ b/standins/kvstore/site.py
@@ -174,7 +174,11 @@
                 _route('logs', 'own', 2, 1500, max_staleness_ms=2500),
             ],
             'services': [
-                {'name': 'ledger', 'max_conns': 22, 'sync_replicas': 0},
+                {
+                    'name': 'ledger',
+                    'max_conns': self.group.max_connections,
+                    'sync_replicas': 0,
+                },
             ],
             'limits': {'tx_idle_ms': 3000},
             **changes,
--- a/standins/linedb/group.py
+++ b/standins/linedb/group.py
@@ -108,6 +108,7 @@
         self.name = name
         self.term = 1
         self.max_connections = 22
+        self.refused_connections = 0
         self.servers = {
             f's-{name}-{number}': Server(self, f's-{name}-{number}', zone)
             for number, zone in enumerate(zones)
--- a/standins/linedb/server.py
+++ b/standins/linedb/server.py
@@ -56,6 +56,7 @@
         if len(fields) > 3 and fields[3] != server.server_id:
             return self._refuse('MISROUTED')
         if server.connections > server.group.max_connections:
+            server.group.refused_connections += 1
             return self._refuse('MAXCONN')
         self._ready()
         return True
--- /dev/null
+++ b/tests/adapters/test_link_codec.py
@@ -0,0 +1,120 @@
+"""Guards against statements that change, or cross, on their way to a holder."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from celeryrelay.adapters import link_codec
+from celeryrelay.core import outcomes, positions, ranks
+from celeryrelay.gateway import commands, connection_state, link_messages
+from celeryrelay.sessions import statements
+
+TEXTS = strategies.text(
+    strategies.characters(max_codepoint=255),
+    max_size=40,
+)
+NUMBERS = strategies.integers(min_value=0, max_value=2**40)
+POSITIONS = strategies.none() | strategies.builds(
+    positions.Position,
+    TEXTS,
+    NUMBERS,
+    NUMBERS,
+)
+TEMPLATES = strategies.builds(
+    statements.Template,
+    TEXTS,
+    strategies.booleans(),
+)
+COMMANDS = strategies.one_of(
+    strategies.builds(commands.Begin, strategies.booleans(), POSITIONS),
+    strategies.just(commands.Rollback()),
+    strategies.just(commands.AskStatus()),
+    strategies.builds(commands.StepDown, NUMBERS),
+    strategies.builds(
+        commands.Run,
+        TEXTS,
+        strategies.one_of(
+            strategies.builds(statements.Run, TEXTS, strategies.booleans()),
+            strategies.builds(statements.RunPrepared, TEMPLATES, TEXTS),
+            strategies.builds(statements.Commit, TEXTS),
+        ),
+        TEXTS,
+        POSITIONS,
+    ),
+)
+NEEDS = strategies.none() | strategies.builds(
+    connection_state.SessionNeeds,
+    strategies.dictionaries(TEXTS, TEXTS, max_size=4),
+    strategies.none() | TEMPLATES,
+    strategies.booleans(),
+)
+MESSAGES = strategies.one_of(
+    strategies.builds(
+        link_messages.Execute,
+        NUMBERS,
+        NUMBERS,
+        strategies.lists(COMMANDS, max_size=4).map(tuple),
+        NEEDS,
+    ),
+    strategies.builds(
+        link_messages.Acquire,
+        NUMBERS,
+        TEXTS,
+        strategies.sampled_from(ranks.Rank),
+        strategies.floats(0, 1e6),
+    ),
+    strategies.builds(
+        link_messages.Refused,
+        NUMBERS,
+        strategies.sampled_from(outcomes.Reason),
+        TEXTS,
+        NUMBERS,
+    ),
+    strategies.builds(
+        link_messages.Answered,
+        NUMBERS,
+        NUMBERS,
+        strategies.builds(
+            commands.Reply,
+            strategies.binary(max_size=60),
+            strategies.none() | strategies.sampled_from(commands.ErrorKind),
+            POSITIONS,
+            strategies.booleans(),
+            strategies.booleans(),
+            TEXTS,
+        ),
+    ),
+    strategies.just(link_messages.Leaving()),
+)
+
+
+@hypothesis.given(
+    messages=strategies.lists(MESSAGES, min_size=1, max_size=5),
+    cuts=strategies.lists(strategies.integers(1, 50), max_size=20),
+)
+def test_messages_arrive_unchanged_however_their_bytes_are_cut(messages, cuts):
+    stream = b''.join(map(link_codec.encode, messages))
+    splitter = link_codec.FrameSplitter()
+    bodies = []
+    for size in [*cuts, len(stream)]:
+        bodies.extend(splitter.feed(stream[:size]).ok_value)
+        stream = stream[size:]
+    decoded = [link_codec.decode(body).ok_value for body in bodies]
+    assert decoded == messages
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'\xc1', b'\x92\xa5Hello', b'\x92\xa7unknown\x80', b'\x01'],
+)
+def test_unreadable_message_is_an_error(body):
+    assert link_codec.decode(body).is_err()
+
+
+@hypothesis.given(body=strategies.binary(max_size=60))
+def test_any_bytes_are_a_message_or_an_error(body):
+    link_codec.decode(body)
+
+
+def test_frame_of_an_absurd_length_ends_the_stream():
+    assert link_codec.FrameSplitter().feed(b'\xff\xff\xff\xff').is_err()
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -8,8 +8,9 @@
 async def start_site(tmp_path):
     started = []
 
-    async def start(daemons=1):
+    async def start(daemons=1, connections=22):
         site = sites.Site(tmp_path)
+        site.group.max_connections = connections
         started.append(site)
         await site.start(daemons)
         return site
--- /dev/null
+++ b/tests/gateway/test_holders_site.py
@@ -0,0 +1,165 @@
+"""Daemons that use connections of others, as real processes.
+
+Six daemons in three availability zones share 8 connections to a server, so one
+daemon of each zone holds two and the other works through it.
+"""
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from tests.gateway import test_site
+
+DAEMONS = 6
+CONNECTIONS = 8
+
+
+@pytest.fixture
+async def site(start_site):
+    started = await start_site(DAEMONS, CONNECTIONS)
+    await wait_for_all_members(started)
+    return started
+
+
+async def wait_for_all_members(site):
+    async with asyncio.timeout(10):
+        for daemon in site.daemons:
+            while await member_count(daemon) < DAEMONS:
+                await asyncio.sleep(0.05)
+    # Plans follow the fleet within a quarter of a second.
+    await asyncio.sleep(0.4)
+
+
+async def member_count(daemon):
+    _, page = await daemon.get(daemon.metrics_port, '/metrics')
+    for line in page.splitlines():
+        if line.startswith('celeryrelay_level{kind="members"}'):
+            return float(line.split(' ')[1])
+    return 0
+
+
+def links_of(daemon):
+    return {
+        line['member'] for line in daemon.log() if line['event'] == 'link open'
+    }
+
+
+async def find_user_and_holder(site, connect, database='bookings'):
+    """Return a daemon that works through another one, and that one."""
+    for daemon in site.daemons:
+        client = await connect(daemon, database)
+        assert (await client.query('READ i0')).ok
+        names = links_of(daemon)
+        for holder in site.daemons:
+            if holder.name in names:
+                return daemon, holder
+    raise AssertionError('no daemon works through another one')
+
+
+async def test_all_daemons_work_within_the_connection_limit(site, connect):
+    """Guards against connections beyond the limit of a server."""
+
+    async def use(daemon, number):
+        client = await connect(daemon, 'logs')
+        assert (await client.query(f'SET zone z{number}')).ok
+        assert (await client.query('PREPARE s1 WRITE q1')).ok
+        for turn in range(10):
+            request_id = f'n{number}t{turn}'
+            answer = await client.query(f'EXEC s1 k{number} v', request_id)
+            assert answer.ok, answer
+            (run,) = test_site.runs_of(site, request_id)
+            assert run.variables == {'zone': f'z{number}'}
+            assert (await client.query('BEGIN')).ok
+            assert (await client.query(f'WRITE j{number} w{turn}')).ok
+            assert (await client.query('COMMIT')).ok
+            read = await client.query(f'READ j{number}')
+            assert read.rows == (f'w{turn}',)
+
+    users = [
+        use(site.daemons[number % DAEMONS], number)
+        for number in range(3 * DAEMONS)
+    ]
+    await asyncio.gather(*users)
+    assert any(links_of(daemon) for daemon in site.daemons)
+    assert site.group.refused_connections == 0
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+async def test_work_goes_on_without_a_holder(site, connect, number):
+    """Guards against daemons that wait for a holder that died or froze."""
+    user, holder = await find_user_and_holder(site, connect)
+    client = await connect(user, 'bookings')
+    holder.signal(number)
+    _, gap_s = await test_site.write_until_served(client, 'i1', 'after')
+    assert gap_s < 2
+    served = 0
+    for _ in range(20):
+        served += (await client.query('READ i1')).ok
+    assert served >= 19
+
+
+async def test_transaction_ends_with_its_holder_and_keeps_nothing(
+    site,
+    connect,
+):
+    """Guards against half a transaction that is kept."""
+    user, holder = await find_user_and_holder(site, connect)
+    client = await connect(user, 'bookings')
+    assert (await client.query('BEGIN')).ok
+    assert (await client.query('WRITE i1 half')).ok
+    holder.signal(signal.SIGKILL)
+    await asyncio.sleep(0.2)
+    lost = await client.query('WRITE i2 half')
+    assert (lost.code, lost.state) == ('ABORTED', 'E')
+    assert (await client.query('ROLLBACK')).state == 'I'
+    assert (await client.query('READ i1')).rows == ('-',)
+
+
+async def test_holder_ends_the_transactions_of_a_daemon_that_died(
+    site,
+    connect,
+):
+    """Guards against connections that a dead daemon keeps for ever."""
+    user, _ = await find_user_and_holder(site, connect)
+    for _ in range(2):
+        client = await connect(user, 'bookings')
+        assert (await client.query('BEGIN')).ok
+        assert (await client.query('WRITE i1 half')).ok
+    user.signal(signal.SIGKILL)
+    other = next(one for one in site.daemons if one is not user)
+    client = await connect(other, 'bookings')
+    _, gap_s = await test_site.write_until_served(client, 'i1', 'whole')
+    assert gap_s < 2
+    assert (await client.query('READ i1')).rows == ('whole',)
+
+
+async def test_planned_stop_of_a_holder_cuts_no_statement(site, connect):
+    """Guards against statements of others that end with a planned stop."""
+    user, holder = await find_user_and_holder(site, connect)
+    for server in site.group.servers.values():
+        server.faults.work_s = 0.02
+    client = await connect(user, 'bookings')
+    begun = time.monotonic()
+    holder.signal(signal.SIGTERM)
+    answers = []
+    while time.monotonic() - begun < 4:
+        answers.append(await client.query('WRITE i1 v1'))
+    assert await holder.end() == 0
+    assert [one for one in answers if not one.ok] == []
+
+
+async def test_dead_primary_is_replaced_in_a_fleet_with_holders(site, connect):
+    """Guards against a quorum of daemons that know nothing at first hand."""
+    client = await connect(site.daemons[0], 'bookings')
+    assert (await client.query('WRITE i1 before')).ok
+    await asyncio.sleep(0.1)
+    old = site.group.primary
+    old.faults.dark = True
+    _, gap_s = await test_site.write_until_served(client, 'i2', 'after')
+    assert gap_s < 6
+    assert site.group.primary is not old
+    assert (await client.query('READ i1')).rows == ('before',)
+    tokens = [order.token for order in site.service.orders]
+    assert len(tokens) == len(set(tokens))
