--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -246,6 +246,7 @@
     def _note_catalog(self, before: catalog.Catalog | None) -> None:
         known = self.shared.directory.catalog
         if known is not None and known is not before:
+            self.sessions.on_known()
             self._log.info(
                 'configuration in force',
                 version=known.version,
--- a/celeryrelay/gateway/sessions.py
+++ b/celeryrelay/gateway/sessions.py
@@ -1,11 +1,19 @@
 """All sessions of one daemon, and their end at a planned stop."""
 
+import asyncio
 import typing
 
+from celeryrelay.adapters import lines
 from celeryrelay.core import outcomes
 from celeryrelay.gateway import ports, services, session
 
 
+# Time for which a session that is being opened waits for the configuration.
+# Callers close a connection that stays silent for 2 s. One that is refused
+# earlier comes back a few times at once, also to daemons that start too.
+OPEN_WAIT_S = 1.6
+
+
 class _TrackedSession(session.Session):
     """A session that tells its registry when its caller has gone."""
 
@@ -31,6 +39,35 @@
         self.runners = session.Runners(shared)
         self._shared = shared
         self._open: set[session.Session] = set()
+        self._known = asyncio.Event()
+        self._waiting = 0
+        self._log = lines.get('session')
+
+    @property
+    def may_open(self) -> bool:
+        """Whether the configuration is known."""
+        return self._shared.directory.catalog is not None
+
+    async def wait_until_known(self) -> None:
+        """Wait for the configuration, for as long as a caller waits."""
+        self._waiting += 1
+        try:
+            async with asyncio.timeout(OPEN_WAIT_S):
+                await self._known.wait()
+        except TimeoutError:
+            self._log.info(
+                'session not opened',
+                cause='the configuration is not known yet',
+                waited_s=OPEN_WAIT_S,
+            )
+        finally:
+            self._waiting -= 1
+
+    def on_known(self) -> None:
+        """Open the sessions that wait for the configuration."""
+        if not self._known.is_set():
+            self._log.info('sessions may open', waiting=self._waiting)
+            self._known.set()
 
     def __len__(self) -> int:
         """Return the number of open sessions."""
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -19,9 +19,20 @@
 }
 
 
+# Messages that are kept while their session is being opened.
+MAX_EARLY_MESSAGES = 64
+
+
 class Opener(typing.Protocol):
     """Opens a session for a caller's connection."""
 
+    @property
+    def may_open(self) -> bool:
+        """Whether it is known which sessions may be opened."""
+
+    async def wait_until_known(self) -> None:
+        """Wait for that, for as long as a caller does well to wait."""
+
     def open(
         self,
         caller: ports.Caller,
@@ -32,6 +43,7 @@
 
 class _Phase(enum.Enum):
     new = 'new'
+    opening = 'opening'
     open = 'open'
     closed = 'closed'
 
@@ -46,6 +58,8 @@
         self._transport: asyncio.Transport | None = None
         self._session: ports.SessionPort | None = None
         self._phase = _Phase.new
+        self._early: list[wire.CallerMessage] = []
+        self._opening: asyncio.Task | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -64,6 +78,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the session."""
         self._phase = _Phase.closed
+        if self._opening is not None:
+            self._opening.cancel()
         if self._session is not None:
             self._session.on_lost()
 
@@ -108,12 +124,34 @@
             case (wire.BadMessage(problem), _):
                 self._refuse(_malformed(problem))
             case (wire.SessionStart(database), _Phase.new):
-                self._open(database)
+                self._start(database)
+            case (_, _Phase.opening):
+                self._keep(message)
             case (statements.Request(), _Phase.open):
                 self._session.on_request(message)
             case _:
                 self._refuse(_malformed('message out of order'))
 
+    def _start(self, database: str) -> None:
+        if self._opener.may_open:
+            self._open(database)
+            return
+        self._phase = _Phase.opening
+        self._opening = asyncio.create_task(self._open_later(database))
+
+    def _keep(self, message: wire.CallerMessage) -> None:
+        if len(self._early) >= MAX_EARLY_MESSAGES:
+            self._refuse(_malformed('too many messages at once'))
+            return
+        self._early.append(message)
+
+    async def _open_later(self, database: str) -> None:
+        await self._opener.wait_until_known()
+        self._opening = None
+        self._open(database)
+        while self._early:
+            self._on_message(self._early.pop(0))
+
     def _open(self, database: str) -> None:
         match self._opener.open(self, database):
             case outcomes.NotRun() as refusal:
