Reach a primary through other daemons during a partition; quicker evidence

Ruled out: replacing the primary sooner, which would lose commits of a primary that most daemons reach. Complaints stay first-hand, so a primary that most daemons miss is still replaced. A server that replied since a probe began isn't blamed for a probe that found no free connection.

--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -75,7 +75,7 @@
         evidence = shared.primaries.evidence[group]
         suspect = self._suspect(group)
         known = shared.directory.known(suspect)
-        witnesses = self._witnesses(group, suspect)
+        witnesses = shared.pools.witnesses(suspect, group)
         complaining = self.complaints.of_others(group, suspect) & witnesses
         office = shared.directory.offices.get(group)
         order_s = now - shared.directory.office_seen.get(group, now)
@@ -99,18 +99,6 @@
         believed = shared.directory.leader(group).server_id
         return believed or shared.primaries.evidence[group].server_id
 
-    def _witnesses(self, group: str, suspect: str) -> frozenset[str]:
-        """Return the daemons that have connections of their own to a server.
-
-        The others learn of its state from these, so they say nothing new.
-        """
-        shared = self._shared
-        known = shared.directory.catalog
-        described = known.groups.get(group) if known else None
-        if described is None:
-            return frozenset((shared.options.instance,))
-        return shared.pools.witnesses(suspect, described)
-
     def _turn(self, group: str, names: frozenset[str]) -> int:
         own = self._shared.options.instance
         order = rendezvous.top(group, names | {own}, len(names) + 1)
--- a/celeryrelay/gateway/forwarding.py
+++ b/celeryrelay/gateway/forwarding.py
@@ -45,6 +45,7 @@
         """Wait for the holder's answer."""
         loop = asyncio.get_running_loop()
         self.busy_ms: float = 0
+        self.is_detour = False
         self.granted: asyncio.Future[result.Result[None, outcomes.NotRun]]
         self.granted = loop.create_future()
         self.confirmed = loop.create_future()
@@ -193,7 +194,8 @@
         match decision:
             case result.Err(refusal):
                 self._leases.pop(lease_id, None)
-                self._note_refusal(server, refusal)
+                if refusal.reason is outcomes.Reason.connections:
+                    self.on_unreached(server.server_id)
                 return result.Err(refusal)
         return result.Ok(lease)
 
@@ -237,6 +239,11 @@
             lease.on_decided(result.Err(_no_holder('link lost')))
             lease.on_lost(commands.Lost('link lost', between_daemons=True))
 
+    def on_unreached(self, server_id: str) -> None:
+        """Note that the holder does not reach a server in time."""
+        until = self._clock.monotonic() + UNREACHED_S
+        self._unreached[server_id] = until
+
     def check(self) -> None:
         """Give up a link that is silent while something is under way."""
         now = self._clock.monotonic()
@@ -348,15 +355,6 @@
         self._avoid_until = self._clock.monotonic() + self._avoid_s
         self._avoid_s = min(self._avoid_s * 2, MAX_AVOID_S)
 
-    def _note_refusal(
-        self,
-        server: catalog.Server,
-        refusal: outcomes.NotRun,
-    ) -> None:
-        if refusal.reason is outcomes.Reason.connections:
-            until = self._clock.monotonic() + UNREACHED_S
-            self._unreached[server.server_id] = until
-
 
 class Forwarder:
     """Links to all daemons whose connections this one uses."""
--- a/celeryrelay/gateway/holding.py
+++ b/celeryrelay/gateway/holding.py
@@ -117,6 +117,15 @@
                 ),
             )
             return
+        if own_pool.is_failing:
+            self._refuse(
+                request.lease_id,
+                outcomes.NotRun(
+                    outcomes.Reason.connections,
+                    'the holder does not reach the backend server',
+                ),
+            )
+            return
         now = self._holder.clock.monotonic()
         acquired = await own_pool.acquire(
             request.rank,
--- a/celeryrelay/gateway/on_primary.py
+++ b/celeryrelay/gateway/on_primary.py
@@ -61,7 +61,8 @@
     server: catalog.Server,
 ) -> result.Result[ports.ConnectionLease, outcomes.NotRun]:
     """Wait for a connection to the primary."""
-    acquired = await shared.pools.get(server).acquire(
+    acquired = await shared.primaries.acquire(
+        server,
         context.route.rank,
         context.acquire_deadline(shared.clock.monotonic()),
     )
@@ -99,7 +100,7 @@
     )
     match reply:
         case commands.Reply(error=None):
-            shared.primaries.on_proved(server, sent_at, reply.position)
+            shared.primaries.on_proved(lease, sent_at, reply.position)
             return result.Ok(lease)
         case commands.Reply(error=error):
             lease.release()
@@ -107,5 +108,5 @@
                 shared.primaries.on_denied(server)
             return result.Err(refusals.of_server(error))
     lease.release(usable=False)
-    shared.primaries.on_no_reply(server, reply)
+    shared.primaries.on_no_reply(lease, reply)
     return result.Err(refusals.silent_primary())
--- a/celeryrelay/gateway/pool.py
+++ b/celeryrelay/gateway/pool.py
@@ -52,6 +52,7 @@
     ticket_id: int
     started: float
     busy_ms: float = 0
+    is_detour: bool = False
 
     @property
     def server(self) -> catalog.Server:
@@ -91,6 +92,8 @@
         """Allow `limit` connections to `server`."""
         self.server = server
         self.avoid_until: float = 0
+        self.replied_at: float = 0
+        self._failing_until: float = 0
         self._connector = connector
         self._clock = clock
         self._limit = limits.FixedLimit(limit)
@@ -120,6 +123,11 @@
         """Statements that wait for a connection."""
         return self._queue.waiting
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the server was not reached a moment ago."""
+        return self._clock.monotonic() < self._failing_until
+
     def resize(self, limit: int) -> None:
         """Change the number of connections that may be open."""
         self._limit.resize(limit)
@@ -152,6 +160,8 @@
         """Take a connection back."""
         if usable and not lease.pooled.connection.closed:
             self._failed_s = FAILED_S
+            self.replied_at = self._clock.monotonic()
+            self._failing_until = 0
             self._keep(lease.pooled)
         else:
             self._close(lease.pooled, 'state unknown')
@@ -160,6 +170,7 @@
     def on_failed(self) -> None:
         """Avoid the server for a while, longer after each failure."""
         self.avoid_until = self._clock.monotonic() + self._failed_s
+        self._failing_until = self.avoid_until
         self._failed_s = min(self._failed_s * 2, MAX_FAILED_S)
 
     def on_full(self) -> None:
--- a/celeryrelay/gateway/ports.py
+++ b/celeryrelay/gateway/ports.py
@@ -57,9 +57,12 @@
 
     Attributes:
         busy_ms: Time for which its commands kept the server busy.
+        is_detour: Whether it is a connection of another daemon, since this
+            one can't reach the server itself.
     """
 
     busy_ms: float
+    is_detour: bool
 
     @property
     def server(self) -> catalog.Server:
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -9,7 +9,16 @@
 from celeryrelay.adapters import lines
 from celeryrelay.core import clock as clocks
 from celeryrelay.core import positions, ranks
-from celeryrelay.gateway import catalog, commands, directory, exchange, ports
+from celeryrelay.gateway import (
+    access,
+    catalog,
+    commands,
+    directory,
+    exchange,
+    ports,
+    probes,
+)
+from celeryrelay.gateway import evidence as evidences
 from celeryrelay.sessions import samples
 
 if typing.TYPE_CHECKING:
@@ -17,46 +26,14 @@
 
 # Samples older than the largest age of any read are of no use.
 SAMPLE_HORIZON_S = 30
-PROBE_TIMEOUT_S = 0.25
 PROBE_PAUSE_S = 0.05
+# Time between two probes of the own way while a detour is in use.
+RECHECK_S = 0.3
 # Time without a reply after which the primary is asked to open a transaction,
 # which needs no slot and is answered at once even under load.
 SUSPECT_S = 0.15
 
 
-class Evidence:
-    """What this daemon saw of a group's primary.
-
-    Attributes:
-        proved_at: When a primary last proved that it leads.
-        failing_since: Start of the first failure since then, None if none.
-        failures: Failures since then.
-        server_id: Server that failed.
-    """
-
-    def __init__(self) -> None:
-        """Start without evidence."""
-        self.proved_at: float | None = None
-        self.failing_since: float | None = None
-        self.failures = 0
-        self.server_id = ''
-
-    def on_proved(self, now: float) -> None:
-        """Note that a primary proved that it leads."""
-        self.proved_at = now
-        self.failing_since = None
-        self.failures = 0
-        self.server_id = ''
-
-    def on_failed(self, server_id: str, now: float) -> None:
-        """Note that the primary was not reached."""
-        if self.failing_since is None or server_id != self.server_id:
-            self.failing_since = now
-            self.failures = 0
-        self.server_id = server_id
-        self.failures += 1
-
-
 class Primaries:
     """Finds the primaries of all groups for the requests that need them.
 
@@ -75,12 +52,14 @@
         self._pools = pools
         self._clock = clock
         self._searches: dict[str, asyncio.Task] = {}
+        self._rechecks: dict[str, asyncio.Task] = {}
         self._log = lines.get('primary')
         self.samples = collections.defaultdict(
             lambda: samples.PrimarySamples(SAMPLE_HORIZON_S),
         )
-        self.evidence: collections.defaultdict[str, Evidence]
-        self.evidence = collections.defaultdict(Evidence)
+        self.evidence: collections.defaultdict[str, evidences.Evidence]
+        self.evidence = collections.defaultdict(evidences.Evidence)
+        self._prober = probes.Prober(pools, self, clock)
 
     def inputs(self, group: str) -> dict[str, typing.Any]:
         """Return what is known of a group's primary, for log lines.
@@ -101,19 +80,23 @@
 
     def on_proved(
         self,
-        server: catalog.Server,
+        lease: ports.ConnectionLease,
         sent_at: float,
         position: positions.Position | None,
     ) -> None:
         """Note an answer that only a primary gives.
 
         Args:
-            server: The server that answered.
+            lease: Connection to the server that answered.
             sent_at: Time in seconds at which the command was sent.
             position: Position in the answer.
         """
         now = self._clock.monotonic()
-        self.evidence[server.group].on_proved(now)
+        server = lease.server
+        if lease.is_detour:
+            self.evidence[server.group].detour_at = now
+        else:
+            self.evidence[server.group].on_proved(now)
         if position is not None:
             self.samples[server.group].on_sample(sent_at, position)
         leader = self._directory.leader(server.group)
@@ -142,15 +125,33 @@
 
     def on_no_reply(
         self,
-        server: catalog.Server,
+        lease: ports.ConnectionLease,
         outcome: exchange.Outcome,
     ) -> None:
         """Note that the believed primary did not reply to a command."""
+        if lease.is_detour:
+            self.evidence[lease.server.group].detour_at = None
+            return
         match outcome:
             case commands.Lost(between_daemons=True):
                 # The holder of the connection failed, not the server.
                 return
-        self.on_failed(server)
+        self.on_failed(lease.server)
+
+    async def acquire(
+        self,
+        server: catalog.Server,
+        rank: ranks.Rank,
+        deadline: float,
+    ) -> access.Acquired:
+        """Wait for a connection to a primary, by a detour if need be."""
+        evidence = self.evidence[server.group]
+        if evidence.uses_detour(self._clock.monotonic()):
+            match await self._pools.acquire_detour(server, rank, deadline):
+                case result.Ok() as acquired:
+                    return acquired
+            evidence.detour_at = None
+        return await self._pools.get(server).acquire(rank, deadline)
 
     def expect(self, server: catalog.Server, reply: asyncio.Future) -> None:
         """Ask whether the primary still answers if `reply` takes long."""
@@ -168,7 +169,8 @@
     ) -> catalog.Server | None:
         """Return the primary, after a search if it is unknown or failing."""
         known = self._directory.primary(group)
-        if known is not None and not self._is_failing(group):
+        now = self._clock.monotonic()
+        if known is not None and self.evidence[group].is_reached(now):
             return known.server
         if not await self.refresh(group, deadline):
             return None
@@ -206,8 +208,8 @@
 
     def stop(self) -> None:
         """End all searches."""
-        for search in self._searches.values():
-            search.cancel()
+        for task in (*self._searches.values(), *self._rechecks.values()):
+            task.cancel()
 
     def suspect(self, server: catalog.Server) -> None:
         """Ask whether a server still leads, if it is the believed primary."""
@@ -219,8 +221,11 @@
         server: catalog.Server,
         reply: asyncio.Future,
     ) -> None:
-        if not reply.done():
-            self.suspect(server)
+        if reply.done() or not self._is_believed(server):
+            return
+        sent_at = self._clock.monotonic() - SUSPECT_S
+        self.evidence[server.group].on_suspected(sent_at)
+        self.search(server.group)
 
     def _is_believed(self, server: catalog.Server) -> bool:
         leader = self._directory.leader(server.group)
@@ -231,23 +236,37 @@
 
     async def _search(self, group: str) -> None:
         while True:
-            probes = [
-                asyncio.create_task(self.probe(known.server))
-                for known in self._directory.servers(group)
-                if self._is_worth_asking(group, known)
-            ]
-            try:
-                if await _any_true(probes):
-                    return
-            finally:
-                for probe in probes:
-                    probe.cancel()
+            if await self._probe_all(group):
+                return
             if not self._directory.leader(group).server_id:
                 # All that answered deny that they lead.
                 now = self._clock.monotonic()
                 self.evidence[group].on_failed('', now)
             await asyncio.sleep(PROBE_PAUSE_S)
 
+    async def _probe_all(self, group: str) -> bool:
+        """Return whether any server of a group proves that it leads."""
+        tasks = [
+            asyncio.create_task(self._prober.probe(known.server))
+            for known in self._directory.servers(group)
+            if self._is_worth_asking(group, known)
+        ]
+        believed = self._directory.primary(group)
+        if believed is not None and self._is_failing(group):
+            detour = self._probe_detour(believed.server)
+            tasks.append(asyncio.create_task(detour))
+        try:
+            return await _any_true(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _probe_detour(self, server: catalog.Server) -> bool:
+        proved = await self._prober.probe_detour(server)
+        if proved:
+            self._start_recheck(server)
+        return proved
+
     def _is_worth_asking(self, group: str, known: directory.Known) -> bool:
         """Return whether to ask a server; a healthy primary is asked alone."""
         believed = self._directory.primary(group)
@@ -255,59 +274,28 @@
             return True
         return known.server.server_id == believed.server.server_id
 
-    async def probe(self, server: catalog.Server) -> bool:
-        """Ask a server to open a transaction; return whether it leads."""
-        deadline = self._clock.monotonic() + PROBE_TIMEOUT_S
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                acquired = await self._pools.get(server).acquire(
-                    ranks.Rank.bookings,
-                    deadline,
-                )
-        except TimeoutError:
-            self.on_failed(server)
-            return False
-        match acquired:
-            case result.Ok(lease):
-                return await self._ask(lease)
-        self.on_failed(server)
-        return False
-
-    async def _ask(self, lease: ports.ConnectionLease) -> bool:
-        sent_at = self._clock.monotonic()
-        opened, ended = lease.send([commands.Begin(), commands.Rollback()])
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                reply = await opened
-                await ended
-        except (TimeoutError, asyncio.CancelledError) as error:
-            lease.release(usable=False)
-            if isinstance(error, asyncio.CancelledError):
-                raise
-            self.on_failed(lease.server)
-            return False
-        return self._judge(lease, reply, sent_at)
-
-    def _judge(
-        self,
-        lease: ports.ConnectionLease,
-        reply: commands.Reply | commands.Lost,
-        sent_at: float,
-    ) -> bool:
-        match reply:
-            case commands.Reply(error=None):
-                lease.release()
-                self.on_proved(lease.server, sent_at, reply.position)
-                return True
-            case commands.Reply(error=commands.ErrorKind.not_primary):
-                lease.release()
-                self.on_denied(lease.server)
-            case commands.Reply():
-                lease.release()
-            case commands.Lost():
-                lease.release(usable=False)
-                self.on_no_reply(lease.server, reply)
-        return False
+    def _start_recheck(self, server: catalog.Server) -> None:
+        recheck = self._rechecks.get(server.group)
+        if recheck is not None and not recheck.done():
+            return
+        self._log.warning(
+            'primary is reached through other daemons',
+            group=server.group,
+            server=server.server_id,
+        )
+        recheck = asyncio.create_task(self._recheck(server))
+        recheck.add_done_callback(self._on_searched)
+        self._rechecks[server.group] = recheck
+
+    async def _recheck(self, server: catalog.Server) -> None:
+        """Probe the own way to a primary while a detour is in use."""
+        evidence = self.evidence[server.group]
+        while self._is_believed(server) and evidence.uses_detour(
+            self._clock.monotonic(),
+        ):
+            await asyncio.sleep(RECHECK_S)
+            if await self._prober.probe(server):
+                self._log.info('primary is reached again', group=server.group)
 
 
 def _age_ms(since: float | None, now: float) -> int | None:
--- /dev/null
+++ b/celeryrelay/gateway/probes.py
@@ -0,0 +1,126 @@
+"""Questions to a server whether it leads its group."""
+
+import asyncio
+import typing
+
+import result
+
+from celeryrelay.core import clock as clocks
+from celeryrelay.core import positions, ranks
+from celeryrelay.gateway import catalog, commands, exchange, ports
+
+if typing.TYPE_CHECKING:
+    from celeryrelay.gateway import services
+
+PROBE_TIMEOUT_S = 0.25
+
+
+class Observer(typing.Protocol):
+    """Takes what probes find out."""
+
+    def on_proved(
+        self,
+        lease: ports.ConnectionLease,
+        sent_at: float,
+        position: positions.Position | None,
+    ) -> None:
+        """Note an answer that only a primary gives."""
+
+    def on_denied(self, server: catalog.Server) -> None:
+        """Note that a server does not lead."""
+
+    def on_failed(self, server: catalog.Server) -> None:
+        """Note that a server was not reached."""
+
+    def on_no_reply(
+        self,
+        lease: ports.ConnectionLease,
+        outcome: exchange.Outcome,
+    ) -> None:
+        """Note that a server did not reply to a command."""
+
+
+class Prober:
+    """Asks servers to open a transaction, which only the primary does.
+
+    That needs no slot, so it is answered at once even under load.
+    """
+
+    def __init__(
+        self,
+        pools: 'services.Pools',
+        observer: Observer,
+        clock: clocks.Clock,
+    ) -> None:
+        """Tell `observer` what the servers of `pools` answer."""
+        self._pools = pools
+        self._observer = observer
+        self._clock = clock
+
+    async def probe(self, server: catalog.Server) -> bool:
+        """Return whether a server proves that it leads."""
+        begun = self._clock.monotonic()
+        way = self._pools.get(server)
+        acquired: result.Result[ports.ConnectionLease, typing.Any]
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                acquired = await way.acquire(
+                    ranks.Rank.bookings,
+                    begun + PROBE_TIMEOUT_S,
+                )
+        except TimeoutError:
+            acquired = result.Err('no connection in time')
+        match acquired:
+            case result.Ok(lease):
+                return await self._ask(lease)
+        # A server whose connections are all in use replies to some of them.
+        if way.own.replied_at <= begun:
+            self._observer.on_failed(server)
+        return False
+
+    async def probe_detour(self, server: catalog.Server) -> bool:
+        """Return whether a server proves through another daemon that it leads.
+
+        A failure says nothing of the server: the daemon may not reach it.
+        """
+        match await self._pools.acquire_detour(
+            server,
+            ranks.Rank.bookings,
+            self._clock.monotonic() + PROBE_TIMEOUT_S,
+        ):
+            case result.Ok(lease):
+                return await self._ask(lease)
+        return False
+
+    async def _ask(self, lease: ports.ConnectionLease) -> bool:
+        sent_at = self._clock.monotonic()
+        opened, ended = lease.send([commands.Begin(), commands.Rollback()])
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                reply = await opened
+                await ended
+        except TimeoutError:
+            lease.release(usable=False)
+            self._observer.on_no_reply(lease, exchange.Late())
+            return False
+        except asyncio.CancelledError:
+            lease.release(usable=False)
+            raise
+        return self._judge(lease, reply, sent_at)
+
+    def _judge(
+        self,
+        lease: ports.ConnectionLease,
+        reply: commands.Reply | commands.Lost,
+        sent_at: float,
+    ) -> bool:
+        lease.release(usable=isinstance(reply, commands.Reply))
+        match reply:
+            case commands.Reply(error=None):
+                self._observer.on_proved(lease, sent_at, reply.position)
+                return True
+            case commands.Reply(error=commands.ErrorKind.not_primary):
+                self._observer.on_denied(lease.server)
+            case commands.Lost():
+                self._observer.on_no_reply(lease, reply)
+        return False
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -273,7 +273,7 @@
         )
         exchange.release(lease, reply)
         if not isinstance(reply, commands.Reply):
-            self._shared.primaries.on_no_reply(server, reply)
+            self._shared.primaries.on_no_reply(lease, reply)
         elif reply.error is commands.ErrorKind.not_primary:
             self._shared.primaries.on_denied(server)
         attempt = self._judge(context, server, reply)
--- a/celeryrelay/gateway/services.py
+++ b/celeryrelay/gateway/services.py
@@ -4,9 +4,11 @@
 import dataclasses
 
 from celeryrelay.core import clock as clocks
+from celeryrelay.core import ranks
 from celeryrelay.gateway import (
     access,
     catalog,
+    detours,
     directory,
     forwarding,
     pool,
@@ -43,6 +45,7 @@
         self._clock = clock
         self._started = clock.monotonic()
         self._accesses: dict[str, access.ServerAccess] = {}
+        self._detours = detours.Detours(options, known, forwarder, clock)
         self.expected = collections.defaultdict(placement.ExpectedTime)
 
     def get(self, server: catalog.Server) -> access.ServerAccess:
@@ -82,12 +85,12 @@
         """Return the connections opened so far to the present servers."""
         return sum(found.own.opened_total for found in self._accesses.values())
 
-    def witnesses(
-        self,
-        server_id: str,
-        group: catalog.Group,
-    ) -> frozenset[str]:
+    def witnesses(self, server_id: str, group_name: str) -> frozenset[str]:
         """Return the daemons that have connections of their own to a server."""
+        known = self._directory.catalog
+        group = known.groups.get(group_name) if known else None
+        if group is None:
+            return frozenset((self._options.instance,))
         fleet = self._directory.fleet
         counted = self._counted()
         limit = group.connection_limit
@@ -95,6 +98,26 @@
             return fleet.names | {self._options.instance}
         return fleet.holders(server_id, limit)
 
+    async def acquire_detour(
+        self,
+        server: catalog.Server,
+        rank: ranks.Rank,
+        deadline: float,
+    ) -> access.Acquired:
+        """Ask other daemons for a connection to a server.
+
+        Args:
+            server: The backend server.
+            rank: Rank of the statement.
+            deadline: Time in seconds at which waiting is of no use.
+        """
+        return await self._detours.acquire(
+            server,
+            self.witnesses(server.server_id, server.group),
+            rank,
+            deadline,
+        )
+
     def _plan(self, server: catalog.Server) -> holders.Plan:
         known = self._directory.catalog
         group = known.groups.get(server.group) if known else None
--- a/celeryrelay/gateway/transactions.py
+++ b/celeryrelay/gateway/transactions.py
@@ -224,8 +224,11 @@
         if transaction.may_use_replica or (commits and not transaction.wrote):
             # A server that lost the lead answers these as well.
             return
-        server = transaction.lease.server
-        self._shared.primaries.on_proved(server, sent_at, reply.position)
+        self._shared.primaries.on_proved(
+            transaction.lease,
+            sent_at,
+            reply.position,
+        )
         if commits:
             context.state.advance(reply.position)
 
@@ -234,11 +237,11 @@
         transaction: Transaction,
         outcome: exchange.Outcome,
     ) -> None:
-        server = transaction.lease.server
+        lease = transaction.lease
         if transaction.may_use_replica:
-            self._shared.pools.get(server).on_no_reply(outcome)
+            self._shared.pools.get(lease.server).on_no_reply(outcome)
         else:
-            self._shared.primaries.on_no_reply(server, outcome)
+            self._shared.primaries.on_no_reply(lease, outcome)
         self.end(transaction, usable=False)
 
     def _may_repeat(
--- a/celeryrelay/gateway/writes.py
+++ b/celeryrelay/gateway/writes.py
@@ -62,7 +62,7 @@
             self._shared.clock,
         )
         exchange.release(lease, reply)
-        answer = self._judge(context, server, reply, sent_at)
+        answer = self._judge(context, lease, reply, sent_at)
         if isinstance(answer, outcomes.NotRun):
             self._note(context, server, answer)
             return result.Err(answer)
@@ -71,14 +71,15 @@
     def _judge(
         self,
         context: session_state.Context,
-        server: catalog.Server,
+        lease: ports.ConnectionLease,
         reply: exchange.Outcome,
         sent_at: float,
     ) -> ports.Answer:
         primaries = self._shared.primaries
+        server = lease.server
         match reply:
             case commands.Reply(error=None):
-                primaries.on_proved(server, sent_at, reply.position)
+                primaries.on_proved(lease, sent_at, reply.position)
                 context.state.advance(reply.position)
                 return reply
             case commands.Reply(error=commands.ErrorKind.not_primary as error):
@@ -88,7 +89,7 @@
                 return refusals.of_server(error)
             case commands.Reply():
                 return reply
-        primaries.on_no_reply(server, reply)
+        primaries.on_no_reply(lease, reply)
         self._log.info(
             'outcome of a write unknown',
             request=context.request_id,
--- a/celeryrelay/platform/backends.py
+++ b/celeryrelay/platform/backends.py
@@ -13,8 +13,6 @@
 from celeryrelay.platform import wire
 from celeryrelay.sessions import statements
 
-CALLER_NAME = 'celeryrelay'
-
 _ERROR_KINDS = {
     'BUSY': commands.ErrorKind.busy,
     'LAGGING': commands.ErrorKind.lagging,
@@ -119,11 +117,15 @@
         """Answer all waiting commands."""
         self._end(str(error) if error else 'closed by the database')
 
-    def start(self, server: catalog.Server) -> asyncio.Future:
+    def start(
+        self,
+        server: catalog.Server,
+        own_name: str,
+    ) -> asyncio.Future:
         """Send the session start and return the future of its reply."""
         line = 'START {0} {1} {2}\r\n'.format(
             server.group,
-            CALLER_NAME,
+            own_name,
             server.server_id,
         )
         return self._write([line.encode(wire.ENCODING)])[0]
@@ -221,6 +223,10 @@
 class Connector:
     """Opens connections to databases."""
 
+    def __init__(self, own_name: str) -> None:
+        """Tell the databases that `own_name` connects."""
+        self._own_name = own_name
+
     async def open(
         self,
         server: catalog.Server,
@@ -231,7 +237,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._connect(server.address, connection)
-                reply = await connection.start(server)
+                reply = await connection.start(server, self._own_name)
         except TimeoutError:
             connection.close('no answer to the session start')
             return result.Err(commands.ConnectProblem.silent)
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -36,7 +36,7 @@
             application.Adapters(
                 self._store,
                 orders.OrderClient(options.orders_address),
-                backends.Connector(),
+                backends.Connector(options.instance),
                 links.LinkConnector(),
             ),
             clocks.SuspendAwareClock(),
--- a/celeryrelay/terms/replacement.py
+++ b/celeryrelay/terms/replacement.py
@@ -73,8 +73,12 @@
 
 
 def is_worth_a_complaint(facts: Facts) -> bool:
-    """Return whether other daemons should know that it is not reached."""
-    return facts.is_witness and _is_failing(facts, FAILING_S)
+    """Return whether other daemons should know that it is not reached.
+
+    After another daemon's complaint one own failure confirms it.
+    """
+    confirms = facts.complaints > 0 and facts.failing_s is not None
+    return facts.is_witness and (confirms or _is_failing(facts, FAILING_S))
 
 
 def _is_order_under_way(facts: Facts) -> bool:
--- a/standins/linedb/group.py
+++ b/standins/linedb/group.py
@@ -31,6 +31,7 @@
         busy: Whether it refuses all work.
         lose_answers: Whether it runs statements and ends the connection.
         work_s: Time that a statement takes.
+        cut_from: Names of callers that it does not answer.
     """
 
     lag_s: float = 0.005
@@ -39,6 +40,7 @@
     busy: bool = False
     lose_answers: bool = False
     work_s: float = 0.001
+    cut_from: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/linedb/server.py
+++ b/standins/linedb/server.py
@@ -28,6 +28,7 @@
         self._variables: dict[str, str] = {}
         self._prepared: dict[str, str] = {}
         self._state = 'I'
+        self._caller = ''
         self._plain = False
         self._writes: list[tuple[str, str, str]] = []
 
@@ -44,13 +45,17 @@
 
     async def _line(self) -> str:
         raw = await self._reader.readline()
-        while self._server.faults.dark:
+        faults = self._server.faults
+        while faults.dark or self._caller in faults.cut_from:
             await asyncio.sleep(0.02)
         return raw.decode('latin-1').rstrip('\r\n')
 
     async def _start(self) -> bool:
-        fields = (await self._line()).split(' ')
         server = self._server
+        fields = (await self._line()).split(' ')
+        self._caller = fields[2] if len(fields) > 2 else ''
+        if self._caller in server.faults.cut_from:
+            await asyncio.Event().wait()
         if fields[:2] != ['START', server.group.name]:
             return self._refuse('MISROUTED')
         if len(fields) > 3 and fields[3] != server.server_id:
--- /dev/null
+++ b/tests/gateway/test_detours_site.py
@@ -0,0 +1,80 @@
+"""Daemons that a partition separates from a primary, as real processes.
+
+Found on days with a primary that some daemons can't reach: these refused all
+bookings of their callers until the partition ended.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.gateway import test_site
+
+
+@pytest.fixture
+async def site(start_site):
+    return await start_site(daemons=4)
+
+
+def cut(site, *daemons):
+    names = frozenset(daemon.name for daemon in daemons)
+    site.group.primary.faults.cut_from = names
+
+
+async def test_callers_of_a_daemon_that_is_cut_off_are_served(site, connect):
+    """Guards against refusals while other daemons reach the primary."""
+    daemon = site.daemons[0]
+    client = await connect(daemon, 'bookings')
+    assert (await client.query('WRITE i1 before')).ok
+    primary = site.group.primary
+    cut(site, daemon)
+    _, gap_s = await test_site.write_until_served(client, 'i1', 'during')
+    assert gap_s < 2
+    begun = time.monotonic()
+    for number in range(20):
+        assert (await client.query(f'WRITE i1 v{number}')).ok
+        assert (await client.query('READ i1')).rows == (f'v{number}',)
+    assert time.monotonic() - begun < 3
+    assert site.group.primary is primary
+    assert site.service.orders == []
+    assert any(
+        line['event'] == 'primary is reached through other daemons'
+        for line in daemon.log()
+    )
+
+
+async def test_own_way_is_used_again_after_the_partition(site, connect):
+    """Guards against a detour that stays for ever."""
+    daemon = site.daemons[0]
+    client = await connect(daemon, 'bookings')
+    assert (await client.query('WRITE i1 before')).ok
+    cut(site, daemon)
+    await test_site.write_until_served(client, 'i1', 'during')
+    cut(site)
+    await asyncio.sleep(1.5)
+    for number in range(5):
+        assert (await client.query(f'WRITE i1 v{number}')).ok
+    assert any(
+        line['event'] == 'primary is reached again' for line in daemon.log()
+    )
+
+
+async def test_primary_that_most_daemons_miss_is_replaced(site, connect):
+    """Guards against detours that hide a cut-off primary from the quorum."""
+    clients = [await connect(daemon, 'bookings') for daemon in site.daemons]
+    for client in clients:
+        assert (await client.query('WRITE i1 before')).ok
+    await asyncio.sleep(0.1)
+    old = site.group.primary
+    cut(site, *site.daemons[:3])
+
+    async def write_for_a_while(client):
+        for number in range(150):
+            await client.query(f'WRITE i2 v{number}')
+            await asyncio.sleep(0.02)
+
+    await asyncio.gather(*map(write_for_a_while, clients))
+    assert site.group.primary is not old
+    for client in clients:
+        assert (await client.query('WRITE i1 after')).ok
--- a/tests/terms/test_replacement.py
+++ b/tests/terms/test_replacement.py
@@ -63,3 +63,20 @@
     assert replacement.decide(second) is replacement.Decision.wait
     late = dataclasses.replace(second, draining_s=replacement.TURN_S)
     assert replacement.decide(late) is replacement.Decision.hand_over
+
+
+def test_complaint_needs_two_failures_unless_it_confirms_another():
+    """Guards against failovers that wait for each daemon's own two probes."""
+    first = dataclasses.replace(DEAD, complaints=0, failures=1, failing_s=0.1)
+    assert not replacement.is_worth_a_complaint(first)
+    confirming = dataclasses.replace(first, complaints=1)
+    assert replacement.is_worth_a_complaint(confirming)
+    healthy = dataclasses.replace(confirming, failing_s=None, failures=0)
+    assert not replacement.is_worth_a_complaint(healthy)
+
+
+def test_daemon_without_own_connections_neither_complains_nor_decides():
+    """Guards against a quorum of daemons that learn from the same holder."""
+    other = dataclasses.replace(DEAD, is_witness=False)
+    assert not replacement.is_worth_a_complaint(other)
+    assert replacement.decide(other) is replacement.Decision.wait
