Send callers elsewhere while a daemon is cut off from store and primary

Ruled out: detours (the other daemons are unreachable as well), a failover. Now such a daemon is not ready, closes sessions that wait for a statement once, and refuses within 50 ms. A dead primary alone changes nothing.

--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -23,7 +23,7 @@
     sessions,
     settings,
 )
-from celeryrelay.membership import pacing
+from celeryrelay.membership import isolation, pacing
 
 MAINTAIN_S = 0.25
 RENEW_PART = 0.3
@@ -93,6 +93,7 @@
         self._registered = asyncio.Event()
         self._lease = 0
         self._lease_ttl_ms = 0
+        self._renewal_lost_at: float | None = None
         self._tasks: list[asyncio.Task] = []
         self.stopping = False
         self.shared = services.Services(
@@ -120,7 +121,12 @@
     @property
     def ready(self) -> bool:
         """Whether the daemon should get new callers."""
-        return self.shared.directory.catalog is not None and not self.stopping
+        known = self.shared.directory
+        return (
+            known.catalog is not None
+            and not known.is_cut_off
+            and not self.stopping
+        )
 
     @property
     def watch_pause_s(self) -> float:
@@ -308,10 +314,15 @@
 
     async def _renew(self) -> None:
         match await self._adapters.store.renew(self._lease):
+            case result.Ok(True):
+                self._renewal_lost_at = None
             case result.Ok(False):
+                self._renewal_lost_at = None
                 self._log.warning('registration ended', lease=self._lease)
                 self._registered.clear()
             case result.Err(problem):
+                if self._renewal_lost_at is None:
+                    self._renewal_lost_at = self._clock.monotonic()
                 self._log.info('lease not renewed', problem=problem.message)
 
     async def _maintain(self) -> typing.NoReturn:
@@ -319,6 +330,27 @@
             await asyncio.sleep(MAINTAIN_S)
             self.shared.pools.maintain()
             self.holder.maintain()
+            self._review_isolation()
+
+    def _review_isolation(self) -> None:
+        """Send callers to other daemons while this one is cut off."""
+        known = self.shared.directory
+        lost_at = known.store_lost_at or self._renewal_lost_at
+        facts = isolation.Facts(
+            None if lost_at is None else self._age(lost_at),
+            self.shared.primaries.longest_failing_s(),
+        )
+        is_cut_off = isolation.is_cut_off(facts)
+        if is_cut_off is known.is_cut_off:
+            return
+        known.is_cut_off = is_cut_off
+        self._log.warning(
+            'cut off' if is_cut_off else 'no longer cut off',
+            store_lost_s=facts.store_lost_s,
+            no_primary_s=facts.no_primary_s,
+        )
+        if is_cut_off:
+            self.sessions.close_idle()
 
     async def _leave(self) -> None:
         for task in self._tasks:
--- a/celeryrelay/gateway/directory.py
+++ b/celeryrelay/gateway/directory.py
@@ -55,6 +55,7 @@
         self.offices: dict[str, catalog.Office] = {}
         self.office_seen: dict[str, float] = {}
         self.store_lost_at: float | None = None
+        self.is_cut_off = False
 
     @property
     def fleet(self) -> holders.Fleet:
@@ -70,6 +71,11 @@
             )
         return self._fleet
 
+    @property
+    def group_names(self) -> tuple[str, ...]:
+        """Names of the database groups in force."""
+        return tuple(self.catalog.groups) if self.catalog else ()
+
     def route(self, database: str) -> catalog.Route | None:
         """Return the route of a database name."""
         return self.catalog and self.catalog.routes.get(database)
--- a/celeryrelay/gateway/evidence.py
+++ b/celeryrelay/gateway/evidence.py
@@ -26,6 +26,11 @@
         self.server_id = ''
         self.detour_at: float | None = None
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether this daemon did not reach the primary since a failure."""
+        return self.failing_since is not None
+
     def is_reached(self, now: float) -> bool:
         """Return whether the primary can be used, maybe by a detour."""
         if self.failing_since is None:
--- a/celeryrelay/gateway/on_primary.py
+++ b/celeryrelay/gateway/on_primary.py
@@ -39,18 +39,17 @@
         The last refusal once the statement may not wait any longer.
     """
     refusal = refusals.no_primary()
+    group = context.route.group
     while True:
-        server = await shared.primaries.find(
-            context.route.group,
-            context.primary_deadline,
-        )
+        deadline = shared.primaries.wait_until(group, context.primary_deadline)
+        server = await shared.primaries.find(group, deadline)
         if server is None:
             return result.Err(refusal)
         match await attempt(server):
             case result.Ok() as done:
                 return done
             case result.Err(refusal):
-                if shared.clock.monotonic() >= context.primary_deadline:
+                if shared.clock.monotonic() >= deadline:
                     return result.Err(refusal)
         await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/celeryrelay/gateway/primaries.py
+++ b/celeryrelay/gateway/primaries.py
@@ -29,6 +29,8 @@
 PROBE_PAUSE_S = 0.05
 # Time between two probes of the own way while a detour is in use.
 RECHECK_S = 0.3
+# Time that a statement waits for a primary at a daemon that is cut off.
+CUT_OFF_WAIT_S = 0.05
 # Time without a reply after which the primary is asked to open a transaction,
 # which needs no slot and is answered at once even under load.
 SUSPECT_S = 0.15
@@ -138,6 +140,35 @@
                 return
         self.on_failed(lease.server)
 
+    def longest_failing_s(self) -> float | None:
+        """Return for how long a primary was not reached, None if all are.
+
+        Those that are not reached are asked until they are.
+        """
+        now = self._clock.monotonic()
+        since: list[float] = []
+        for group in self._directory.group_names:
+            evidence = self.evidence[group]
+            if not evidence.is_reached(now):
+                since.append(evidence.failing_since)
+                self.search(group)
+        return now - min(since) if since else None
+
+    def wait_until(self, group: str, deadline: float) -> float:
+        """Return the time until which a statement may wait for a primary.
+
+        A daemon that is cut off refuses soon: others may serve the caller.
+
+        Args:
+            group: Name of the database group.
+            deadline: Time in seconds until which the caller would wait.
+        """
+        now = self._clock.monotonic()
+        is_hopeless = self._directory.is_cut_off and not self.evidence[
+            group
+        ].is_reached(now)
+        return min(deadline, now + CUT_OFF_WAIT_S) if is_hopeless else deadline
+
     async def acquire(
         self,
         server: catalog.Server,
@@ -231,9 +262,6 @@
         leader = self._directory.leader(server.group)
         return leader.server_id == server.server_id
 
-    def _is_failing(self, group: str) -> bool:
-        return self.evidence[group].failing_since is not None
-
     async def _search(self, group: str) -> None:
         while True:
             if await self._probe_all(group):
@@ -252,7 +280,7 @@
             if self._is_worth_asking(group, known)
         ]
         believed = self._directory.primary(group)
-        if believed is not None and self._is_failing(group):
+        if believed is not None and self.evidence[group].is_failing:
             detour = self._probe_detour(believed.server)
             tasks.append(asyncio.create_task(detour))
         try:
@@ -270,7 +298,7 @@
     def _is_worth_asking(self, group: str, known: directory.Known) -> bool:
         """Return whether to ask a server; a healthy primary is asked alone."""
         believed = self._directory.primary(group)
-        if believed is None or self._is_failing(group):
+        if believed is None or self.evidence[group].is_failing:
             return True
         return known.server.server_id == believed.server.server_id
 
--- a/celeryrelay/gateway/reads.py
+++ b/celeryrelay/gateway/reads.py
@@ -105,9 +105,11 @@
         found = read_bound(context, known)
         if found is not None:
             return found
-        await self._shared.primaries.refresh(
-            context.route.group,
-            context.primary_deadline,
+        primaries = self._shared.primaries
+        group = context.route.group
+        await primaries.refresh(
+            group,
+            primaries.wait_until(group, context.primary_deadline),
         )
         return read_bound(context, known)
 
--- a/tests/gateway/test_detours_site.py
+++ b/tests/gateway/test_detours_site.py
@@ -78,3 +78,34 @@
     assert site.group.primary is not old
     for client in clients:
         assert (await client.query('WRITE i1 after')).ok
+
+
+async def test_daemon_that_is_cut_off_sends_its_callers_elsewhere(
+    start_site,
+    connect,
+):
+    """Guards against callers that wait at a daemon that can't serve them.
+
+    Found on a day with a partition that left two daemons without the store,
+    without the new primary and without other daemons.
+    """
+    site = await start_site()
+    daemon = site.daemons[0]
+    client = await connect(daemon, 'bookings')
+    idle = await connect(daemon, 'bookings')
+    assert (await client.query('WRITE i1 before')).ok
+    site.service.faults.down = True
+    cut(site, daemon)
+    async with asyncio.timeout(6):
+        while await daemon.probe() == 200:
+            await client.query('WRITE i1 during')
+    begun = time.monotonic()
+    assert not (await client.query('WRITE i1 during')).ok
+    assert time.monotonic() - begun < 0.3
+    assert await idle._reader.read() == b''
+    site.service.faults.down = False
+    cut(site)
+    async with asyncio.timeout(6):
+        while await daemon.probe() != 200:
+            await asyncio.sleep(0.05)
+    assert (await client.query('WRITE i1 after')).ok
