--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -35,6 +35,10 @@
 TRANSACTION_PART = 0.5
 EXIT_RESERVE_S = 0.6
 STOP_TICK_S = 0.03
+# Time after an answer in which a caller's next statement may be on its way,
+# and the part of a stop in which such sessions are left open.
+QUIET_S = 0.25
+QUIET_FOR_S = 1.5
 # Time for telling the store at the end; the lease ends by itself as well.
 LEAVE_S = 0.3
 
@@ -168,7 +172,7 @@
             age_s = self._age(begun)
             if age_s >= self._options.stop_grace_s - EXIT_RESERVE_S:
                 break
-            self.sessions.close_idle()
+            self.sessions.close_idle(self._quiet_s(age_s))
             half = self._options.stop_grace_s * TRANSACTION_PART
             if age_s >= half and not aborted:
                 aborted = True
@@ -183,6 +187,17 @@
         )
         await self._leave()
 
+    def _quiet_s(self, age_s: float) -> float:
+        """Return how long a session has to be quiet to be closed now.
+
+        Sessions that are never quiet for long have to end within the grace.
+
+        Args:
+            age_s: Time in seconds since the stop began.
+        """
+        left_s = OUT_OF_ROTATION_S + QUIET_FOR_S - age_s
+        return QUIET_S * max(left_s / QUIET_FOR_S, 0)
+
     def reload(self, options: settings.Settings) -> None:
         """Note changed settings; addresses need a restart."""
         changed = {
@@ -350,7 +365,7 @@
             no_primary_s=facts.no_primary_s,
         )
         if is_cut_off:
-            self.sessions.close_idle()
+            self.sessions.close_idle(QUIET_S)
 
     async def _leave(self) -> None:
         for task in self._tasks:
--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -55,6 +55,7 @@
         self._failed = False
         self._abort_untold = False
         self._last_request = ''
+        self._quiet_since = self._shared.clock.monotonic()
         self._closed = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self._position: positions.Position | None = None
@@ -65,6 +66,11 @@
         """Whether the session could be closed without any loss."""
         return not (self._task or self._requests or self.in_transaction)
 
+    @property
+    def quiet_s(self) -> float:
+        """Time in seconds since the session opened or got its last answer."""
+        return self._shared.clock.monotonic() - self._quiet_since
+
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open, usable or failed."""
@@ -291,6 +297,7 @@
             state = ports.TransactionState.failed
         elif self._transaction is not None:
             state = ports.TransactionState.open
+        self._quiet_since = self._shared.clock.monotonic()
         self._caller.answer(answer, state, self._position)
 
     def _start_timer(self) -> None:
--- a/celeryrelay/gateway/sessions.py
+++ b/celeryrelay/gateway/sessions.py
@@ -100,10 +100,15 @@
         """Forget a session whose caller has gone."""
         self._open.discard(lost)
 
-    def close_idle(self) -> None:
-        """Close the sessions that wait for a statement."""
+    def close_idle(self, quiet_s: float) -> None:
+        """Close the sessions that wait for a statement.
+
+        Args:
+            quiet_s: Time in seconds for which nothing was sent to the caller.
+                Its next statement may be on its way before that.
+        """
         for found in self:
-            if found.idle:
+            if found.idle and found.quiet_s >= quiet_s:
                 found.close()
 
     def abort_transactions(self, why: str) -> None:
--- a/celeryrelay/platform/feed.py
+++ b/celeryrelay/platform/feed.py
@@ -14,6 +14,8 @@
 
 RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# A daemon that has not read the store can't serve anybody and asks more often.
+MAX_FIRST_RETRY_S = 0.25
 
 
 class FeedState(enum.Enum):
@@ -68,7 +70,11 @@
                 case result.Err(problem):
                     self._note_lost(problem)
                     await asyncio.sleep(self._retry_s * random.uniform(0.5, 1))
-                    self._retry_s = min(self._retry_s * 2, MAX_RETRY_S)
+                    self._retry_s = min(self._retry_s * 2, self._max_retry_s)
+
+    @property
+    def _max_retry_s(self) -> float:
+        return MAX_RETRY_S if self._revision else MAX_FIRST_RETRY_S
 
     async def _step(self) -> result.Result[None, ports.StoreProblem]:
         if not self._revision:
--- a/tests/gateway/test_session.py
+++ b/tests/gateway/test_session.py
@@ -80,3 +80,24 @@
     ]
     refused = caller.answers[-1][0]
     assert refused.reason.value == 'malformed'
+
+
+async def test_session_that_was_just_answered_is_not_closed_at_once():
+    """Guards against statements that cross the end of their session.
+
+    Found under load: a session was closed between its opening and the arrival
+    of its first statement.
+    """
+    caller = FakeCaller()
+    session = make_session(caller)
+    registry = session._registry
+    registry.close_idle(0.05)
+    assert not caller.closed
+    await asyncio.sleep(0.06)
+    request = statements.Request('r1', statements.SetVariable('a', '1'))
+    session.on_request(request)
+    registry.close_idle(0.05)
+    assert not caller.closed
+    await asyncio.sleep(0.06)
+    registry.close_idle(0.05)
+    assert caller.closed
