--- a/standins/faultproxy/links.py
+++ b/standins/faultproxy/links.py
@@ -43,10 +43,14 @@
         silenced: It passes nothing any more.
         lossy: Directions that have lost bytes. Passing later bytes would
             corrupt the stream, so they pass nothing any more either.
+        writers: Both ends.
     """
 
     silenced: bool = False
     lossy: set[str] = dataclasses.field(default_factory=set)
+    writers: list[asyncio.StreamWriter] = dataclasses.field(
+        default_factory=list,
+    )
 
 
 class Link:
@@ -89,6 +93,12 @@
         elif before.refuse and not self.faults.refuse:
             await self.listen(self.host, self.port)
 
+    def reset(self) -> None:
+        """Reset the connections that are open now."""
+        for pair in self._pairs:
+            for writer in pair.writers:
+                writer.transport.abort()
+
     def describe(self) -> dict[str, typing.Any]:
         """Return the state of the link for the admin interface."""
         return {
@@ -129,6 +139,7 @@
         target_reader, target_writer = await asyncio.open_connection(
             *self._target,
         )
+        pair.writers.extend((writer, target_writer))
         tasks = {
             asyncio.create_task(
                 self._pump(pair, 'cut_to_target', reader, target_writer),
--- a/standins/kvstore/service.py
+++ b/standins/kvstore/service.py
@@ -70,7 +70,11 @@
                 web.post('/promote', self._promote),
             ],
         )
-        self._runner = web.AppRunner(app, shutdown_timeout=0)
+        self._runner = web.AppRunner(
+            app,
+            shutdown_timeout=0,
+            access_log=None,
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, '127.0.0.1', 0)
         await site.start()
--- a/standins/kvstore/site.py
+++ b/standins/kvstore/site.py
@@ -138,17 +138,25 @@
 
     async def start(self, daemons: int) -> None:
         """Start everything with `daemons` daemons."""
+        await self.prepare()
+        for number in range(daemons):
+            self.add_daemon(number, self.service.address)
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+
+    async def prepare(self) -> None:
+        """Start the databases and the store."""
         for server in self.group.servers.values():
             self._listeners.append(await servers.serve(server))
         await self.service.start()
         self.publish()
         self.report()
         self._reporter = asyncio.create_task(self._report_changes())
-        self.daemons = [
-            Daemon(f'front-{number}', self._directory, self.service.address)
-            for number in range(daemons)
-        ]
-        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+
+    def add_daemon(self, number: int, store: str) -> None:
+        """Prepare a daemon that reaches the store at `store`."""
+        self.daemons.append(
+            Daemon(f'front-{number}', self._directory, store),
+        )
 
     async def stop(self) -> None:
         """Kill the daemons that run and end the rest."""
--- a/standins/linedb/client.py
+++ b/standins/linedb/client.py
@@ -60,7 +60,8 @@
 
     def close(self) -> None:
         """End the connection."""
-        self._writer.close()
+        if self._writer is not None:
+            self._writer.close()
 
     async def _answer(self) -> Answer:
         rows: list[str] = []
--- a/standins/linedb/group.py
+++ b/standins/linedb/group.py
@@ -117,6 +117,8 @@
         }
         self.primary: Server | None = next(iter(self.servers.values()))
         self.runs: list[Run] = []
+        self.journal: list[Entry] = []
+        self.promoted_at: list[float] = []
         self._deposed: set[str] = set()
         self.changed = asyncio.Event()
 
@@ -129,6 +131,7 @@
         position = (self.term, self.primary.position[1] + 1)
         for key, content, request_id in writes:
             entry = Entry(position, key, content, request_id, time.monotonic())
+            self.journal.append(entry)
             for server in self.servers.values():
                 if server is self.primary or self._receives(server):
                     server.log.append(entry)
@@ -140,6 +143,7 @@
     def promote(self, server_id: str) -> None:
         """Let a server lead the next term with the log that it has."""
         self.term += 1
+        self.promoted_at.append(time.monotonic())
         old, new = self.primary, self.servers[server_id]
         new.log = new.applied()
         if old is new:
--- a/standins/linedb/server.py
+++ b/standins/linedb/server.py
@@ -209,7 +209,8 @@
 ) -> None:
     server.connections += 1
     try:
-        with contextlib.suppress(ConnectionError):
+        # The task is cancelled when the stand-in stops.
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             await _Connection(server, reader, writer).run()
     finally:
         server.connections -= 1
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real daemons under faults from outside."""
