--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -1,6 +1,7 @@
 """The daemon: its tasks, from start to a planned stop."""
 
 import asyncio
+import contextlib
 import dataclasses
 import secrets
 import typing
@@ -26,6 +27,8 @@
 from celeryrelay.membership import isolation, pacing
 
 MAINTAIN_S = 0.25
+# Time for which the registration waits for the first read of the store.
+FIRST_READ_S = 1.0
 RENEW_PART = 0.3
 RETRY_S = 0.3
 # The load balancer takes a daemon out of rotation after two failed probes, one
@@ -95,6 +98,7 @@
             options.capacity,
         )
         self._registered = asyncio.Event()
+        self._store_read = asyncio.Event()
         self._lease = 0
         self._lease_ttl_ms = 0
         self._renewal_lost_at: float | None = None
@@ -132,10 +136,15 @@
             and not self.stopping
         )
 
-    @property
-    def watch_pause_s(self) -> float:
-        """Time in seconds between two watches of the store."""
-        return pacing.watch_pause_s(len(self.shared.directory.daemons))
+    def watch_pause_s(self, changes: abc.Sequence[catalog.Change]) -> float:
+        """Return the time until the next watch of the store, in seconds.
+
+        Args:
+            changes: What the last watch told.
+        """
+        is_churn = bool(changes) and all(map(_concerns_daemon, changes))
+        members = len(self.shared.directory.daemons)
+        return pacing.watch_pause_s(members, is_churn)
 
     def start(self, feed: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
         """Start the tasks; `feed` passes the store's changes on."""
@@ -212,6 +221,7 @@
         """Take all items of the store."""
         before = self.shared.directory.catalog
         self.shared.directory.on_snapshot(items)
+        self._store_read.set()
         self._note_catalog(before)
         self._check_registration()
 
@@ -282,6 +292,10 @@
 
     async def _register(self) -> typing.NoReturn:
         """Keep the daemon's registration alive."""
+        # The lease's time depends on the number of daemons.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_READ_S):
+                await self._store_read.wait()
         while True:
             if self._is_lease_too_short():
                 self._registered.clear()
@@ -392,3 +406,10 @@
         error = task.exception()
         self._log.critical('task ended', error=repr(error))
         asyncio.get_running_loop().stop()
+
+
+def _concerns_daemon(change: catalog.Change) -> bool:
+    match change:
+        case catalog.Removed(kind):
+            return kind is catalog.Member
+    return isinstance(change, catalog.Member)
--- a/celeryrelay/gateway/forwarding.py
+++ b/celeryrelay/gateway/forwarding.py
@@ -22,6 +22,8 @@
 OPEN_TIMEOUT_S = 0.25
 # Time in which a holder confirms a request, also if it has to wait.
 CONFIRM_S = 0.2
+# The same for a holder that replied to something else since then.
+SLOW_S = 0.6
 # Silence of a link with something under way after which its holder is asked
 # for a sign of life, and after which it is given up.
 PING_AFTER_S = 0.25
@@ -145,6 +147,7 @@
         self._avoid_until: float = 0
         self._unreached: dict[str, float] = {}
         self._heard_at: float = 0
+        self._replied_at: float = 0
         self._is_pinged = False
         self._is_leaving = False
         self._log = lines.get('link')
@@ -212,6 +215,7 @@
     def on_message(self, message: link_messages.Message) -> None:
         """Take a message of the holder."""
         self._heard_at = self._clock.monotonic()
+        self._replied_at = self._heard_at
         self._is_pinged = False
         match message:
             case link_messages.Leaving():
@@ -296,16 +300,10 @@
         wait_s: float,
     ) -> result.Result[None, outcomes.NotRun]:
         try:
-            async with asyncio.timeout(CONFIRM_S):
-                await lease.confirmed
-        except TimeoutError:
-            self._avoid()
-            self.release(lease.lease_id, usable=True)
-            return result.Err(_no_holder('the holder does not answer'))
-        except asyncio.CancelledError:
-            self.release(lease.lease_id, usable=True)
-            raise
-        try:
+            if not await self._is_confirmed(lease):
+                self._avoid()
+                self.release(lease.lease_id, usable=True)
+                return result.Err(_no_holder('the holder does not answer'))
             async with asyncio.timeout(wait_s + CONFIRM_S):
                 return await lease.granted
         except TimeoutError:
@@ -320,6 +318,21 @@
             self.release(lease.lease_id, usable=True)
             raise
 
+    async def _is_confirmed(self, lease: ForwardedLease) -> bool:
+        """Wait for a sign of the holder, longer for one that is only slow.
+
+        The next daemon in order opens connections of its own, so it should
+        not be asked while the holder is alive.
+        """
+        begun = self._clock.monotonic()
+        while not lease.confirmed.done():
+            await asyncio.wait([lease.confirmed], timeout=CONFIRM_S)
+            now = self._clock.monotonic()
+            is_slow = now - self._replied_at < SLOW_S
+            if not is_slow or now - begun >= SLOW_S:
+                break
+        return lease.confirmed.done()
+
     async def _connect(self) -> bool:
         if self._link is not None and not self._link.closed:
             return True
--- a/celeryrelay/membership/pacing.py
+++ b/celeryrelay/membership/pacing.py
@@ -8,6 +8,10 @@
 # meanwhile are answered to one call.
 WATCH_PAUSE_S = 0.002
 MAX_WATCH_PAUSE_S = 0.2
+# The same after an answer that told of other daemons only: while daemons are
+# replaced one after the other, each of them would wake all others twice.
+CHURN_PAUSE_S = 0.008
+MAX_CHURN_PAUSE_S = 0.6
 # Lease time for each daemon, and its limits. A longer lease keeps a daemon
 # that died in the plans of others for longer.
 LEASE_MS = 200
@@ -17,8 +21,15 @@
 LEASE_GROWTH = 1.5
 
 
-def watch_pause_s(members: int) -> float:
-    """Return the time in seconds between two watches of a daemon."""
+def watch_pause_s(members: int, is_churn: bool = False) -> float:
+    """Return the time in seconds between two watches of a daemon.
+
+    Args:
+        members: Number of registered daemons.
+        is_churn: Whether the last answer told of other daemons only.
+    """
+    if is_churn:
+        return min(members * CHURN_PAUSE_S, MAX_CHURN_PAUSE_S)
     return min(members * WATCH_PAUSE_S, MAX_WATCH_PAUSE_S)
 
 
--- a/celeryrelay/platform/feed.py
+++ b/celeryrelay/platform/feed.py
@@ -29,9 +29,12 @@
 class Follower(typing.Protocol):
     """Takes what the feed reads."""
 
-    @property
-    def watch_pause_s(self) -> float:
-        """Time in seconds between two watches."""
+    def watch_pause_s(self, changes: abc.Sequence[catalog.Change]) -> float:
+        """Return the time until the next watch, in seconds.
+
+        Args:
+            changes: What the last watch told.
+        """
 
     def on_snapshot(self, items: abc.Sequence[catalog.Change]) -> None:
         """Take all items of the store; others no longer exist."""
@@ -89,11 +92,13 @@
                 self._log.info('history gone, reading all', revision=revision)
                 self._revision = 0
             case result.Ok(store.Events(events, revision)):
-                for raw in events:
-                    for change in self._decode(raw):
-                        self._follower.on_change(change)
+                changes = [
+                    change for raw in events for change in self._decode(raw)
+                ]
+                for change in changes:
+                    self._follower.on_change(change)
                 self._revision = max(self._revision, revision)
-                await asyncio.sleep(self._follower.watch_pause_s)
+                await asyncio.sleep(self._follower.watch_pause_s(changes))
             case result.Err(problem):
                 return result.Err(problem)
         return result.Ok(None)
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,125 @@
+"""Guards against daemons that take a slow holder for a dead one."""
+
+import asyncio
+
+import pytest
+import result
+
+from celeryrelay.core import clock as clocks
+from celeryrelay.core import outcomes, ranks
+from celeryrelay.gateway import catalog, commands, forwarding, link_messages
+from tests.gateway import test_failover
+
+SERVER = test_failover.make_server('s1', catalog.Role.primary)
+MEMBER = catalog.Member('front-2', 'z1', 'start', '10.0.0.2:7000')
+
+
+class FakeLink:
+    """Notes what is sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.closed = False
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def close(self, problem):
+        self.closed = True
+
+
+class FakeConnector:
+    """Opens one link."""
+
+    def __init__(self):
+        self.link = FakeLink()
+
+    async def open(self, address, handler, timeout_s):
+        return result.Ok(self.link)
+
+
+@pytest.fixture
+def connector():
+    return FakeConnector()
+
+
+@pytest.fixture
+def peer(connector):
+    return forwarding.Peer(
+        'front-1',
+        MEMBER,
+        connector,
+        clocks.SystemClock(),
+    )
+
+
+async def start_acquiring(peer):
+    deadline = clocks.SystemClock().monotonic() + 2
+    acquiring = asyncio.create_task(
+        peer.acquire(SERVER, ranks.Rank.bookings, deadline),
+    )
+    await asyncio.sleep(0.01)
+    return acquiring
+
+
+async def test_silent_holder_is_given_up_soon(peer):
+    acquiring = await start_acquiring(peer)
+    async with asyncio.timeout(0.4):
+        refused = await acquiring
+    assert refused.err_value.reason is outcomes.Reason.no_holder
+    assert peer.is_avoided('s1')
+
+
+async def test_slow_holder_gets_more_time(peer):
+    """Found under load: the next daemon opened more connections than fit."""
+    acquiring = await start_acquiring(peer)
+    for _ in range(4):
+        peer.on_message(link_messages.Pong())
+        await asyncio.sleep(0.1)
+    peer.on_message(link_messages.Granted(1))
+    assert (await acquiring).is_ok()
+    assert not peer.is_avoided('s1')
+
+
+async def test_lost_link_answers_everything_and_blames_no_server(peer):
+    acquiring = await start_acquiring(peer)
+    peer.on_message(link_messages.Granted(1))
+    lease = (await acquiring).ok_value
+    (reply,) = lease.send([commands.Rollback()])
+    waiting = await start_acquiring(peer)
+    peer.on_closed('reset')
+    assert (await reply) == commands.Lost('link lost', between_daemons=True)
+    assert (await waiting).is_err()
+    (late,) = lease.send([commands.Rollback()])
+    assert isinstance(await late, commands.Lost)
+
+
+async def test_replies_go_to_their_own_commands(peer, connector):
+    """Guards against replies that cross between leases and commands."""
+    leases = []
+    for lease_id in (1, 2):
+        acquiring = await start_acquiring(peer)
+        peer.on_message(link_messages.Granted(lease_id))
+        leases.append((await acquiring).ok_value)
+    first = leases[0].send([commands.Begin(), commands.Rollback()])
+    second = leases[1].send([commands.Begin()])
+    replies = [commands.Reply(bytes([n]), None, None) for n in range(3)]
+    peer.on_message(link_messages.Answered(2, 0, replies[2]))
+    peer.on_message(link_messages.Answered(1, 1, replies[1]))
+    peer.on_message(link_messages.Answered(1, 0, replies[0]))
+    assert [await one for one in (*first, *second)] == replies
+    executed = [
+        message
+        for message in connector.link.sent
+        if isinstance(message, link_messages.Execute)
+    ]
+    assert [message.lease_id for message in executed] == [1, 2]
+
+
+async def test_cancelled_request_is_given_back(peer, connector):
+    """Guards against connections that wait for nobody."""
+    acquiring = await start_acquiring(peer)
+    acquiring.cancel()
+    await asyncio.sleep(0.01)
+    assert connector.link.sent[-1] == link_messages.Release(1, usable=True)
+    assert peer.load == 0
--- a/tests/membership/test_pacing.py
+++ b/tests/membership/test_pacing.py
@@ -29,3 +29,12 @@
     assert pacing.watch_pause_s(8) < 0.02
     assert pacing.watch_pause_s(74) == pytest.approx(0.148)
     assert pacing.watch_pause_s(700) == pacing.MAX_WATCH_PAUSE_S
+
+
+def test_churn_of_daemons_is_followed_more_slowly_than_all_else():
+    """Guards against a rolling restart that wakes all daemons all the time."""
+    assert pacing.watch_pause_s(74, is_churn=True) > 0.5
+    assert pacing.watch_pause_s(8, is_churn=True) < 0.1
+    assert pacing.watch_pause_s(700, is_churn=True) == (
+        pacing.MAX_CHURN_PAUSE_S
+    )
