--- a/celeryrelay/daemon/holding/holder.py
+++ b/celeryrelay/daemon/holding/holder.py
@@ -4,64 +4,34 @@
 to the backend server and decides what may be said about their outcome.
 """
 
-import dataclasses
 from collections import abc
 
 import result
 
 from celeryrelay.adapters import backends
 from celeryrelay.admission import decisions
-from celeryrelay.conf import sets, settings
+from celeryrelay.conf import settings
 from celeryrelay.core import clock, messages, outcomes
 from celeryrelay.daemon.callers import refusals
-from celeryrelay.daemon.failover import probes
 from celeryrelay.daemon.holding import (
     acknowledgement,
-    admission,
+    answers,
     idempotency,
-    pool,
     read_checks,
     replies,
     transactions,
 )
-from celeryrelay.sessions import staleness
 from celeryrelay.terms import guard
 
-FETCH_ROWS = 200
 _MS_PER_S = 1000
 
-Lines = abc.AsyncGenerator[messages.Line, None]
-
-
-@dataclasses.dataclass(slots=True)
-class HolderParts:
-    """What a holder works with; all of it belongs to one slot."""
-
-    slot: sets.Slot
-    group: sets.DatabaseGroup
-    pool: pool.Pool
-    admission: admission.Admission
-    probe: probes.SlotProbe
-    acknowledger: acknowledgement.Acknowledger
-    age: staleness.ReplicaAge
-
-
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """One statement on its way through the holder."""
-
-    request: messages.StatementRequest
-    delays: list[outcomes.Delay]
-    started_at: float
-    received_at: float
-
 
 class SlotHolder:
     """Runs statements on one slot."""
 
     def __init__(
         self,
-        parts: HolderParts,
+        parts: answers.HolderParts,
         options: settings.StatementSettings,
         ticker: clock.Clock,
     ) -> None:
@@ -70,6 +40,7 @@
         self.transactions = transactions.TransactionTable(ticker)
         self._options = options
         self._clock = ticker
+        self._answers = answers.Answers(parts, options)
         self._read_check = read_checks.ReadCheck(
             parts.probe,
             parts.age,
@@ -77,7 +48,9 @@
             ticker,
         )
 
-    async def statement(self, request: messages.StatementRequest) -> Lines:
+    async def statement(
+        self, request: messages.StatementRequest
+    ) -> answers.Lines:
         """Run a statement and yield the lines of its answer."""
         if request.transaction:
             lines = self._in_transaction(request)
@@ -95,19 +68,23 @@
         for transaction in self.transactions.expired(heard):
             await self._end(transaction, 'ROLLBACK')
 
-    async def _admitted(self, request: messages.StatementRequest) -> Lines:
+    async def _admitted(
+        self, request: messages.StatementRequest
+    ) -> answers.Lines:
         received_at = self._clock.monotonic()
         refusal = self._early_refusal(request)
         if refusal is not None:
-            yield _last(refusal)
+            yield answers.last_line(refusal)
             return
         gate = self.parts.admission
         verdict = await gate.enter(request.rank, request.budget_ms)
         if isinstance(verdict, decisions.Refuse):
-            yield _last(replies.overload(verdict, request))
+            yield answers.last_line(replies.overload(verdict, request))
             return
-        run = _Run(request, [], self._clock.monotonic(), received_at)
-        self._delayed(run, outcomes.DelayCause.queue, received_at)
+        run = answers.Run(request, [], self._clock.monotonic(), received_at)
+        run.note_delay(
+            outcomes.DelayCause.queue, received_at, self._clock.monotonic()
+        )
         kept = False
         ok = False
         try:
@@ -138,12 +115,16 @@
             )
         return None
 
-    async def _with_connection(self, run: _Run) -> Lines:
+    async def _with_connection(self, run: answers.Run) -> answers.Lines:
         before = self._clock.monotonic()
         acquired = await self.parts.pool.acquire()
-        self._delayed(run, outcomes.DelayCause.connection, before)
+        run.note_delay(
+            outcomes.DelayCause.connection, before, self._clock.monotonic()
+        )
         if acquired.is_err():
-            yield _last(replies.no_connection(acquired.unwrap_err()))
+            yield answers.last_line(
+                replies.no_connection(acquired.unwrap_err())
+            )
             return
         connection = acquired.unwrap()
         owned = True
@@ -163,9 +144,9 @@
 
     def _dispatch(
         self,
-        run: _Run,
+        run: answers.Run,
         connection: backends.BackendConnection,
-    ) -> Lines:
+    ) -> answers.Lines:
         match run.request.action:
             case 'begin':
                 return self._begin(run, connection)
@@ -178,39 +159,41 @@
 
     async def _read(
         self,
-        run: _Run,
+        run: answers.Run,
         connection: backends.BackendConnection,
-    ) -> Lines:
+    ) -> answers.Lines:
         request = run.request
         before = self._clock.monotonic()
         refusal = await self._read_check.refusal(request, connection)
-        self._delayed(run, outcomes.DelayCause.lag_wait, before)
+        run.note_delay(
+            outcomes.DelayCause.lag_wait, before, self._clock.monotonic()
+        )
         if refusal is not None:
-            yield _last(refusal)
+            yield answers.last_line(refusal)
             return
         reply = await connection.execute(
-            request.sql, _timeout_ms(self._options, request)
+            request.sql, answers.timeout_ms(self._options, request)
         )
-        async for line in self._answer(run, connection, reply):
+        async for line in self._answers.answer(run, connection, reply):
             yield line
 
     async def _write(
         self,
-        run: _Run,
+        run: answers.Run,
         connection: backends.BackendConnection,
-    ) -> Lines:
+    ) -> answers.Lines:
         prepared = await self._set_term(connection)
         if isinstance(prepared, outcomes.NotRun):
-            yield _last(prepared)
+            yield answers.last_line(prepared)
             return
         if run.request.caller_request:
-            yield _last(await self._once(run, connection))
+            yield answers.last_line(await self._once(run, connection))
             return
         reply = await connection.execute(
             run.request.sql,
-            _timeout_ms(self._options, run.request),
+            answers.timeout_ms(self._options, run.request),
         )
-        async for line in self._answer(run, connection, reply):
+        async for line in self._answers.answer(run, connection, reply):
             yield line
 
     async def _set_term(
@@ -236,7 +219,7 @@
 
     async def _once(
         self,
-        run: _Run,
+        run: answers.Run,
         connection: backends.BackendConnection,
     ) -> outcomes.Outcome:
         """Run a write together with its caller's request id."""
@@ -245,28 +228,28 @@
             idempotency.Write(
                 sql=run.request.sql,
                 caller_request=run.request.caller_request,
-                timeout_ms=_timeout_ms(self._options, run.request),
+                timeout_ms=answers.timeout_ms(self._options, run.request),
             ),
         )
         if isinstance(ran, backends.Ok):
-            return await self._acknowledged(run, ran)
+            return await self._answers.acknowledged(run, ran)
         return ran
 
     async def _begin(
         self,
-        run: _Run,
+        run: answers.Run,
         connection: backends.BackendConnection,
-    ) -> Lines:
+    ) -> answers.Lines:
         prepared = await self._set_term(connection)
         if isinstance(prepared, outcomes.NotRun):
-            yield _last(prepared)
+            yield answers.last_line(prepared)
             return
         reply = await connection.execute(
             'BEGIN',
             self._options.progress_timeout_ms,
         )
         if not isinstance(reply, backends.Ok):
-            yield _last(replies.refused_or_lost(reply, sent=False))
+            yield answers.last_line(replies.refused_or_lost(reply, sent=False))
             return
         transaction = self.transactions.open(run.request, connection)
         done = outcomes.Done(
@@ -278,9 +261,9 @@
 
     async def _position(
         self,
-        run: _Run,
+        run: answers.Run,
         connection: backends.BackendConnection,
-    ) -> Lines:
+    ) -> answers.Lines:
         answered = await connection.query(
             'CALL group_status()',
             self._options.progress_timeout_ms,
@@ -294,32 +277,34 @@
                     term=int(term),
                     offset=int(applied),
                 )
-                yield _last(await self._acknowledged(run, ran))
+                yield answers.last_line(
+                    await self._answers.acknowledged(run, ran)
+                )
             case _:
-                yield _last(
+                yield answers.last_line(
                     acknowledgement.no_primary(outcomes.Reason.no_primary),
                 )
 
     async def _in_transaction(
         self,
         request: messages.StatementRequest,
-    ) -> Lines:
+    ) -> answers.Lines:
         transaction = self.transactions.use(request.transaction)
         if transaction is None:
-            yield _last(refusals.rolled_back('unknown transaction'))
+            yield answers.last_line(refusals.rolled_back('unknown transaction'))
             return
         now = self._clock.monotonic()
-        run = _Run(request, [], now, now)
+        run = answers.Run(request, [], now, now)
         ended = True
         try:
             if request.action in {'commit', 'rollback'}:
-                yield _last(await self._finish(run, transaction))
+                yield answers.last_line(await self._finish(run, transaction))
             else:
                 reply = await transaction.connection.execute(
                     request.sql,
-                    _timeout_ms(self._options, request),
+                    answers.timeout_ms(self._options, request),
                 )
-                lines = self._answer(run, transaction.connection, reply)
+                lines = self._answers.answer(run, transaction.connection, reply)
                 async for line in lines:
                     ended = not (
                         isinstance(line, messages.LAST_LINES)
@@ -335,16 +320,16 @@
 
     async def _finish(
         self,
-        run: _Run,
+        run: answers.Run,
         transaction: transactions.Transaction,
     ) -> outcomes.Outcome:
         commit = run.request.action == 'commit'
         reply = await transaction.connection.execute(
             'COMMIT' if commit else 'ROLLBACK',
-            _timeout_ms(self._options, run.request),
+            answers.timeout_ms(self._options, run.request),
         )
         if isinstance(reply, backends.Ok):
-            return await self._acknowledged(run, reply)
+            return await self._answers.acknowledged(run, reply)
         if commit:
             return replies.refused_or_lost(reply, sent=True)
         return outcomes.Done()
@@ -367,101 +352,3 @@
         if place is not None:
             place.gate.leave(place.ticket_id, 0, ok=True)
         self.parts.pool.release(transaction.connection)
-
-    async def _answer(
-        self,
-        run: _Run,
-        connection: backends.BackendConnection,
-        reply: backends.Reply,
-    ) -> Lines:
-        match reply:
-            case backends.Rows():
-                yield replies.header(reply)
-                async for line in self._rows(run, connection, reply):
-                    yield line
-            case backends.Ok():
-                yield _last(await self._acknowledged(run, reply))
-            case backends.Lost() if run.request.transaction:
-                # COMMIT was not sent, so the server rolls back.
-                yield _last(refusals.rolled_back(reply.message))
-            case _:
-                yield _last(
-                    replies.refused_or_lost(reply, sent=run.request.write),
-                )
-
-    async def _rows(
-        self,
-        run: _Run,
-        connection: backends.BackendConnection,
-        reply: backends.Rows,
-    ) -> Lines:
-        binary = [column.binary for column in reply.columns]
-        count = 0
-        while True:
-            rows = await connection.fetch(
-                FETCH_ROWS,
-                _timeout_ms(self._options, run.request),
-            )
-            if not isinstance(rows, list):
-                yield _last(replies.refused_or_lost(rows, sent=True))
-                return
-            if not rows:
-                break
-            count += len(rows)
-            yield messages.RowBatch(
-                tuple(replies.encode_row(row, binary) for row in rows),
-            )
-        ran = backends.Ok(count, 0, connection.in_transaction)
-        yield _last(await self._acknowledged(run, ran))
-
-    async def _acknowledged(
-        self,
-        run: _Run,
-        ran: backends.Ok,
-    ) -> outcomes.Outcome:
-        status = self.parts.probe.status
-        done = outcomes.Done(
-            affected_rows=ran.affected_rows,
-            last_insert_id=ran.last_insert_id,
-            in_transaction=ran.in_transaction,
-            slot=self.parts.slot.name,
-            from_replica=status is not None and status.role == 'replica',
-            delays=tuple(run.delays),
-        )
-        if ran.term is None or ran.offset is None:
-            return done
-        return await self.parts.acknowledger.acknowledge(
-            acknowledgement.Commit(
-                slot=self.parts.slot.name,
-                term=ran.term,
-                offset=ran.offset,
-                durability=run.request.durability,
-                received_at=run.received_at,
-                sent_at=run.started_at,
-                budget_ms=run.request.budget_ms,
-            ),
-            done,
-        )
-
-    def _delayed(
-        self,
-        run: _Run,
-        cause: outcomes.DelayCause,
-        since: float,
-    ) -> None:
-        duration_ms = (self._clock.monotonic() - since) * _MS_PER_S
-        if duration_ms >= 1:
-            run.delays.append(outcomes.Delay(cause, duration_ms))
-
-
-def _timeout_ms(
-    options: settings.StatementSettings,
-    request: messages.StatementRequest,
-) -> float:
-    # A statement that has started may finish after its deadline; the caller
-    # then still learns its outcome.
-    return min(options.progress_timeout_ms, max(request.budget_ms, 1) * 2)
-
-
-def _last(outcome: outcomes.Outcome) -> messages.LastLine:
-    return messages.last_line(outcome, 0)
--- a/celeryrelay/daemon/holding/holders.py
+++ b/celeryrelay/daemon/holding/holders.py
@@ -11,6 +11,7 @@
 from celeryrelay.daemon.holding import (
     acknowledgement,
     admission,
+    answers,
     confirmation,
     holder,
     pool,
@@ -259,7 +260,7 @@
             for other in group.slots
             if other.name != slot.name
         )
-        parts = holder.HolderParts(
+        parts = answers.HolderParts(
             slot=slot,
             group=group,
             pool=pool.Pool(
--- a/tests/integration/test_retries.py
+++ b/tests/integration/test_retries.py
@@ -25,6 +25,7 @@
 )
 LINK = 'group-1-slot-0'
 SEED = 20240611
+MAX_FAULT_ROUNDS = 6
 UNKNOWN = 9202
 UNSUPPORTED = 1235
 NAMES = (f'log-{number}' for number in itertools.count())
@@ -171,12 +172,17 @@
         )
         for number in range(8)
     ]
-    for fault in ('cut_to_client', 'cut_to_target', 'silent', 'cut_to_client'):
+    faults = ('cut_to_client', 'cut_to_target', 'silent', 'cut_to_client')
+    # On a busy machine a round may find no statement on its way.
+    for _ in range(MAX_FAULT_ROUNDS):
+        for fault in faults:
+            await asyncio.sleep(0.5)
+            await deployment.proxy.set_faults(LINK, **{fault: True})
+            await asyncio.sleep(0.15)
+            await deployment.proxy.set_faults(LINK, **{fault: False})
         await asyncio.sleep(0.5)
-        await deployment.proxy.set_faults(LINK, **{fault: True})
-        await asyncio.sleep(0.15)
-        await deployment.proxy.set_faults(LINK, **{fault: False})
-    await asyncio.sleep(0.5)
+        if UNKNOWN in told.values():
+            break
     stop.set()
     await asyncio.gather(*writers)
     counts = await _counts(deployment)
