Promote the longest log where commits wait for a replica, also a leaving one

Cause: among the replicas that answer, one that stays went before one that leaves. A leaving replica counts for acknowledgements until it ends, so with sync_replicas 1 it may be the only one that has the last commits. Ruled out: groups that don't wait, where a leaving server would soon be replaced again; their order is unchanged.

--- a/celeryrelay/gateway/failover.py
+++ b/celeryrelay/gateway/failover.py
@@ -162,7 +162,7 @@
             return
         if hands_over:
             found = await self._step_down(group.name, believed, found)
-        chosen = self._choose(group.name, found, believed)
+        chosen = self._choose(group, found, believed)
         if chosen is None:
             self._log.warning('no server to promote', group=group.name)
             return
@@ -276,15 +276,19 @@
 
     def _choose(
         self,
-        group: str,
+        group: catalog.Group,
         found: Statuses,
         believed: str,
     ) -> str | None:
-        """Return the server with the longest log, leaving ones last."""
+        """Return the server with the longest log, leaving ones last.
+
+        Where commits wait for a replica, a leaving one may be the only one
+        that has them all, so the length of the log goes first.
+        """
         now = self._shared.clock.monotonic()
         candidates = [
             known
-            for known in self._shared.directory.servers(group)
+            for known in self._shared.directory.servers(group.name)
             if known.server.server_id in found
             and known.server.server_id != believed
             and self._unfit.get(known.server.server_id, 0) <= now
@@ -292,6 +296,9 @@
         best = max(
             candidates,
             key=lambda known: (
+                _place(found[known.server.server_id])
+                if group.replicated
+                else (0, 0),
                 known.draining_since is None,
                 _place(found[known.server.server_id]),
             ),
--- /dev/null
+++ b/tests/gateway/test_replicated_failover.py
@@ -0,0 +1,99 @@
+"""Guards against acknowledged commits that a promotion loses.
+
+In a group whose commits wait for a replica, only the replica with the longest
+log is sure to have all of them.
+"""
+
+import asyncio
+import dataclasses
+
+import pytest
+import result
+
+from celeryrelay.core import clock as clocks
+from celeryrelay.core import positions
+from celeryrelay.gateway import application, catalog, commands
+from tests.gateway import test_failover
+
+REPLICATED = catalog.Group('g1', 22, replicated=True)
+
+
+class PositionedConnection(test_failover.FakeConnection):
+    """Answers as a replica at a position of its own."""
+
+    def __init__(self, offset):
+        self._offset = offset
+
+    def send(self, batch):
+        loop = asyncio.get_running_loop()
+        position = positions.Position('g1', 1, self._offset)
+        reply = commands.Reply(b'', None, position, last_row='replica')
+        futures = [loop.create_future() for _ in batch]
+        for future in futures:
+            loop.call_soon(future.set_result, reply)
+        return futures
+
+
+class PositionedConnector(test_failover.FakeConnector):
+    """Reaches the servers that have an offset."""
+
+    def __init__(self, **offsets):
+        self.offsets = offsets
+
+    async def open(self, server, timeout_s):
+        offset = self.offsets.get(server.server_id)
+        if offset is None:
+            await asyncio.sleep(timeout_s)
+            return result.Err(commands.ConnectProblem.silent)
+        return result.Ok(PositionedConnection(offset))
+
+
+@pytest.fixture
+def replace():
+    async def run(group, leaving=(), **offsets):
+        orders = test_failover.FakeOrders()
+        made = application.Application(
+            test_failover.OPTIONS,
+            application.Adapters(
+                test_failover.FakeStore(),
+                orders,
+                PositionedConnector(**offsets),
+                None,
+            ),
+            clocks.SystemClock(),
+        )
+        made.on_change(catalog.Catalog(1, {}, {'g1': group}, 3000))
+        for server_id in ('dead', 's2', 's3'):
+            is_dead = server_id == 'dead'
+            role = catalog.Role.primary if is_dead else catalog.Role.replica
+            server = test_failover.make_server(server_id, role)
+            if server_id in leaving:
+                state = catalog.ServerState.draining
+                server = dataclasses.replace(server, state=state)
+            made.on_change(server)
+        await made._failover._replace(group, hands_over=False)
+        return [server_id for server_id, _ in orders.orders]
+
+    return run
+
+
+async def test_longest_log_is_promoted(replace):
+    assert await replace(REPLICATED, s2=7, s3=9) == ['s3']
+    assert await replace(REPLICATED, s2=9, s3=7) == ['s2']
+
+
+async def test_nothing_is_promoted_while_a_replica_is_silent(replace):
+    assert await replace(REPLICATED, s2=7) == []
+    assert await replace(test_failover.GROUP, s2=7) == ['s2']
+
+
+async def test_leaving_replica_with_the_longest_log_is_promoted(replace):
+    """A leaving replica counts for acknowledgements until it ends."""
+    assert await replace(REPLICATED, ['s3'], s2=7, s3=9) == ['s3']
+    assert await replace(REPLICATED, ['s3'], s2=9, s3=9) == ['s2']
+
+
+async def test_leaving_replica_is_promoted_last_where_commits_do_not_wait(
+    replace,
+):
+    assert await replace(test_failover.GROUP, ['s3'], s2=7, s3=9) == ['s2']
