Log why a daemon ends, and what stalls its event loop

Operators saw daemons that ended or did not start.

Each end that was not asked for now has a last line, errors of the event loop are lines of the log with its rate limit, a crash of the interpreter writes its stack, and a late timer logs the time without work next to the processor time used in it.

New tests; before the change the settings file was reported on standard error only (test_daemon_logs_why_it_did_not_start found no line).

--- a/celeryrelay/gateway/application.py
+++ b/celeryrelay/gateway/application.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc
 
-from celeryrelay.adapters import json_log, supervision
+from celeryrelay.adapters import diagnostics, json_log, supervision
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import (
     catalog,
@@ -314,8 +314,11 @@
             )
 
     async def _maintain(self) -> typing.NoReturn:
+        stalls = diagnostics.StallMonitor(MAINTENANCE_INTERVAL_S)
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            if stalls.log_stall() is not None:
+                self.shared.metrics.event('stalled')
             self.shared.connection_sources.maintain()
             self.holder.maintain()
             self._check_isolation()
--- a/celeryrelay/management/commands/gateway.py
+++ b/celeryrelay/management/commands/gateway.py
@@ -19,7 +19,7 @@
 import result
 from absl import app, flags
 
-from celeryrelay.adapters import json_log
+from celeryrelay.adapters import diagnostics, json_log
 from celeryrelay.gateway import settings
 from celeryrelay.platform import process, settings_file
 
@@ -56,13 +56,14 @@
 
 def main(_: typing.Sequence[str]) -> int:
     """Run the daemon until it stops and return the exit code."""
+    json_log.configure(_LOG_LEVEL.value)
+    diagnostics.dump_traces_of_crashes()
     path = _SETTINGS_FILE.value or settings_file.settings_path()
     match _load_settings(path):
         case result.Ok(options):
             return _serve(options, path)
         case result.Err(message):
-            sys.stderr.write('{0}\n'.format(message))
-            return EXIT_START_FAILED
+            return _fail(message)
 
 
 def _load_settings(path: str) -> result.Result[settings.Settings, str]:
@@ -76,16 +77,29 @@
 
 
 def _serve(options: settings.Settings, path: str) -> int:
-    json_log.configure(_LOG_LEVEL.value)
     try:
         asyncio.run(_run(options, path))
     except OSError as error:
-        sys.stderr.write('cannot start: {0}\n'.format(error))
-        return EXIT_START_FAILED
+        return _fail('cannot start: {0}'.format(error))
+    except Exception:
+        json_log.get('daemon').critical(
+            'daemon ended by an unexpected error', exc_info=True
+        )
+        raise
     return 0
 
 
+def _fail(problem: str) -> int:
+    """Report why the daemon can't start, and return the exit code."""
+    json_log.get('daemon').critical('daemon not started', problem=problem)
+    if sys.stderr is not None:
+        sys.stderr.write('{0}\n'.format(problem))
+    return EXIT_START_FAILED
+
+
 async def _run(options: settings.Settings, path: str) -> None:
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(diagnostics.log_unhandled_error)
     await process.Process(options, path).run()
 
 
--- a/tests/gateway/test_start_site.py
+++ b/tests/gateway/test_start_site.py
@@ -107,3 +107,16 @@
         return False
     writer.close()
     return True
+
+
+async def test_daemon_logs_why_it_did_not_start(site):
+    """Guards against a start that fails without a line in the log."""
+    (daemon,) = site.daemons
+    daemon.settings_path.write_text('node=front-0\n')
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(4):
+            await daemon.start()
+    assert await daemon.wait_for_exit() == 1
+    (line,) = daemon.log()
+    assert line['event'] == 'daemon not started'
+    assert 'required fields are missing' in line['problem']
