Start a daemon also if its metrics port is an internal port

The platform draws the internal ports, and the daemon took the last one for its links without looking at the port that the project itself chose.

The links use the last internal port that the metrics page doesn't use; other daemons learn it from the store.

--- a/celeryrelay/platform/settings_file.py
+++ b/celeryrelay/platform/settings_file.py
@@ -77,17 +77,9 @@
     fields: dict[str, str],
     metrics_port: int,
 ) -> settings.Settings:
-    first_port, _, last_port = fields['internal_ports'].partition(',')
-    link_port = _parse_number('internal_ports', last_port or first_port)
-    if not metrics_port:
-        metrics_port = _parse_number('internal_ports', first_port)
-    if link_port == metrics_port:
-        raise ValueError(
-            'internal_ports: {0!r} is not valid; enter two different ports, '
-            'one for metrics and one for links between daemons'.format(
-                fields['internal_ports'],
-            ),
-        )
+    internal_ports = _parse_port_range(fields)
+    metrics_port = metrics_port or internal_ports.start
+    link_port = _select_link_port(internal_ports, metrics_port)
     return settings.Settings(
         instance=fields['node'],
         availability_zone=fields['zone'],
@@ -112,6 +104,33 @@
     )
 
 
+def _parse_port_range(fields: dict[str, str]) -> range:
+    """Return the ports that are free for the daemon, from first to last."""
+    first, _, last = fields['internal_ports'].partition(',')
+    ports = [
+        addresses.parse(_internal_address(fields, port)).port
+        for port in (first, last or first)
+    ]
+    return range(min(ports), max(ports) + 1)
+
+
+def _select_link_port(internal_ports: range, metrics_port: int) -> int:
+    """Return the last internal port that the metrics page doesn't use.
+
+    The metrics port is chosen by the deployment and the internal ports by the
+    platform, so they may overlap. Other daemons learn the port of the links
+    from the store.
+    """
+    for port in reversed(internal_ports):
+        if port != metrics_port:
+            return port
+    raise ValueError(
+        'internal_ports: {0}-{1} is not valid; enter two ports or more, first '
+        'and last, one of them for metrics and one for links between '
+        'daemons'.format(internal_ports.start, internal_ports.stop - 1),
+    )
+
+
 def _cpu_capacity(fields: dict[str, str]) -> float:
     """Return the cores that the process may use; one if no limit is set."""
     share = _parse_number(
@@ -125,7 +144,7 @@
     return _checked_address(name, fields[name])
 
 
-def _internal_address(fields: dict[str, str], port: float) -> str:
+def _internal_address(fields: dict[str, str], port: int | str) -> str:
     address = '{0}:{1}'.format(fields['ip'], port)
     return _checked_address('internal_ports', address)
 
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -73,3 +73,26 @@
     bounds = {'bounds.contact_ms': '6000', 'bounds.config_apply_ms': '5000'}
     loaded = load(tmp_path, **bounds).ok_value
     assert (loaded.disruption_s, loaded.apply_s) == (6, 5)
+
+
+@pytest.mark.parametrize('internal_ports', ['9450,9464', '9464,9480'])
+def test_metrics_port_among_the_internal_ports_does_not_stop_the_start(
+    tmp_path, internal_ports
+):
+    """Guards against drawn ports that contain the port of the deploy file."""
+    load(tmp_path, internal_ports=internal_ports)
+    options = settings_file.load(str(tmp_path / 'boot.conf'), 9464).ok_value
+    assert options.metrics_address == '10.1.0.8:9464'
+    first, last = map(int, internal_ports.split(','))
+    link_port = int(options.link_address.rpartition(':')[2])
+    assert first <= link_port <= last
+    assert link_port != 9464
+
+
+@pytest.mark.parametrize('internal_ports', ['9464', '9464,9464'])
+def test_internal_ports_without_one_for_links_are_an_error(
+    tmp_path, internal_ports
+):
+    load(tmp_path, internal_ports=internal_ports)
+    loaded = settings_file.load(str(tmp_path / 'boot.conf'), 9464)
+    assert 'internal_ports' in loaded.err_value
