--- a/celeryrelay/daemon/callers/delivery.py
+++ b/celeryrelay/daemon/callers/delivery.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections import abc
 
-from celeryrelay.adapters import callers, peer_client
+from celeryrelay.adapters import caller_connection, peer_client
 from celeryrelay.admission import retry_budget
 from celeryrelay.conf import sets, settings
 from celeryrelay.core import clock, outcomes, peer_messages
@@ -16,7 +16,7 @@
 HOLD_CHECK_S = 0.25
 _MS_PER_S = 1000
 
-AnswerParts = abc.AsyncGenerator[callers.AnswerPart, None]
+AnswerParts = abc.AsyncGenerator[caller_connection.AnswerPart, None]
 
 FINAL_OUTCOMES = (
     outcomes.Done,
@@ -265,7 +265,7 @@
         async for part in self._send(statement, target, transaction.instance):
             match part:
                 case peer_client.PeerFailure() if statement.answered:
-                    yield callers.CloseConnection(part.message)
+                    yield caller_connection.CloseConnection(part.message)
                 case peer_client.PeerFailure() if part.sent and commits:
                     yield refusals.connection_lost(part.message)
                 case peer_client.PeerFailure():
@@ -326,7 +326,7 @@
             if not isinstance(part, peer_client.PeerFailure):
                 yield part
             elif statement.answered:
-                yield callers.CloseConnection(part.message)
+                yield caller_connection.CloseConnection(part.message)
             elif part.sent and _may_have_effect(target.request):
                 yield refusals.connection_lost(part.message)
             else:
@@ -339,7 +339,9 @@
         statement: Statement,
         target: forwarding.SlotRequest,
         instance: str,
-    ) -> abc.AsyncGenerator[callers.AnswerPart | peer_client.PeerFailure, None]:
+    ) -> abc.AsyncGenerator[
+        caller_connection.AnswerPart | peer_client.PeerFailure, None
+    ]:
         """Send a statement to one holder; yield the parts safe to pass on."""
         sent_at = self._services.clock.monotonic()
         left_ms = (statement.deadline - sent_at) * _MS_PER_S
@@ -373,7 +375,7 @@
 
     def _withhold_late_ack(
         self, outcome: outcomes.Outcome, sent_at: float
-    ) -> callers.AnswerPart:
+    ) -> caller_connection.AnswerPart:
         """Return the outcome, or close the connection if it came too late.
 
         The limit is shortened by the largest difference in clock rate.
@@ -386,7 +388,7 @@
         rate_error = self._services.settings.terms.clock_rate_error
         if elapsed_ms < outcome.ack_within_ms * (1 - rate_error):
             return outcome
-        return callers.CloseConnection('acknowledgement expired')
+        return caller_connection.CloseConnection('acknowledgement expired')
 
 
 _ACTIONS = {
--- a/celeryrelay/daemon/callers/session.py
+++ b/celeryrelay/daemon/callers/session.py
@@ -6,7 +6,7 @@
 
 import result
 
-from celeryrelay.adapters import callers
+from celeryrelay.adapters import caller_connection
 from celeryrelay.conf import sets
 from celeryrelay.core import outcomes, peer_messages, positions
 from celeryrelay.daemon.account import outcome_recorder
@@ -218,7 +218,9 @@
             case result.Err(error):
                 return refusals.bad_token(error)
 
-    def _token_rows(self, group: str) -> abc.Iterator[callers.AnswerPart]:
+    def _token_rows(
+        self, group: str
+    ) -> abc.Iterator[caller_connection.AnswerPart]:
         position = self._bounds.bound(group)
         token = self._services.signer.sign(position) if position else ''
         column = peer_messages.ColumnHeader(
@@ -237,7 +239,7 @@
             async for part in self._run_routed(statement):
                 if isinstance(part, delivery.TransactionOpened):
                     continue
-                if isinstance(part, callers.CloseConnection):
+                if isinstance(part, caller_connection.CloseConnection):
                     self.finished = True
                     last = refusals.connection_lost(part.message)
                 if isinstance(part, delivery.FINAL_OUTCOMES):
@@ -395,7 +397,7 @@
             async for part in self._deliverer.run_on_primary(
                 statement, message
             ):
-                if isinstance(part, callers.CloseConnection):
+                if isinstance(part, caller_connection.CloseConnection):
                     late = True
                     last = refusals.no_holder(part.message)
                 elif isinstance(part, delivery.FINAL_OUTCOMES):
--- a/tests/daemon/test_delivery.py
+++ b/tests/daemon/test_delivery.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from celeryrelay.adapters import callers, peer_client
+from celeryrelay.adapters import caller_connection, peer_client
 from celeryrelay.admission import retry_budget
 from celeryrelay.conf import sets
 from celeryrelay.conf import settings as daemon_settings
@@ -176,7 +176,7 @@
 
 
 def ends(parts):
-    last = (*delivery.FINAL_OUTCOMES, callers.CloseConnection)
+    last = (*delivery.FINAL_OUTCOMES, caller_connection.CloseConnection)
     return [part for part in parts if isinstance(part, last)]
 
 
@@ -223,7 +223,7 @@
     """Guards against passing on an acknowledgement after its window."""
     late = peer_messages.DoneLine(outcomes.Done(ack_within_ms=49))
     parts, _ = run([(late,)], statement_kinds.Kind.write)
-    assert isinstance(parts[-1], callers.CloseConnection)
+    assert isinstance(parts[-1], caller_connection.CloseConnection)
     in_time = dataclasses.replace(late, done=outcomes.Done(ack_within_ms=60))
     parts, _ = run([(in_time,)], statement_kinds.Kind.write)
     assert isinstance(parts[-1], outcomes.Done)
