Refuse settings outside their range with a message

Operators saw a traceback at the start for bounds.config_apply_ms=inf and bounds.contact_ms=nan. limits.cpu_share of 0, -1 or nan, a port 0 and an instance name that is no word of the line protocol were accepted and failed later: other daemons refused the registration, and no connection to a backend server could be opened. bounds.fencing=True and a byte order mark kept a daemon from starting.

The cause is that numbers were parsed and not compared with a range, and that names and hosts were used in protocols without a check.

Each number now has a range, which nan and infinity fail, and the instance name and the hosts have a form. The ready-made default range holds for further numeric fields too.

--- a/celeryrelay/platform/settings_file.py
+++ b/celeryrelay/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import re
 
 import result
 
@@ -23,7 +24,14 @@
 STOP_GRACE_S = 6
 DISRUPTION_MS = 5000
 APPLY_MS = 3000
+# Longer times and larger limits are taken for mistakes.
+MAX_NUMBER = 1e9
+_POSITIVE_FIELDS = frozenset(('limits.cpu_share', 'limits.cores'))
 _REGION_FIELD_PREFIX = 'zones.'
+# Backend servers and the store get the instance name as a word or key.
+_INSTANCE_NAME = re.compile('[!-~]{1,100}')
+_HOST_NAME = re.compile('[0-9A-Za-z_:-]{1,63}([.][0-9A-Za-z_-]{1,63}){0,9}')
+_FLAGS = {'true': True, 'false': False}
 
 
 def settings_path() -> str:
@@ -46,7 +54,7 @@
             system.
     """
     try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
+        text = pathlib.Path(path).read_text(encoding='utf-8-sig')
     except (OSError, UnicodeDecodeError) as error:
         return result.Err('{0}: cannot be read: {1}'.format(path, error))
     fields = _parse_fields(text)
@@ -81,7 +89,7 @@
     metrics_port = metrics_port or internal_ports.start
     link_port = _select_link_port(internal_ports, metrics_port)
     return settings.Settings(
-        instance=fields['node'],
+        instance=_parse_instance(fields, 'node'),
         availability_zone=fields['zone'],
         regions={
             name.removeprefix(_REGION_FIELD_PREFIX): region
@@ -140,6 +148,16 @@
     return share * cores
 
 
+def _parse_instance(fields: dict[str, str], name: str) -> str:
+    given = fields[name]
+    if not _INSTANCE_NAME.fullmatch(given):
+        raise ValueError(
+            '{0}: {1!r} is not a name of 1 to 100 ASCII characters '
+            'without spaces'.format(name, given),
+        )
+    return given
+
+
 def _parse_address(fields: dict[str, str], name: str) -> str:
     return _checked_address(name, fields[name])
 
@@ -151,17 +169,23 @@
 
 def _checked_address(name: str, address: str) -> str:
     try:
-        addresses.parse(address)
+        host, port = addresses.parse(address)
     except ValueError as error:
         raise ValueError('{0}: {1}'.format(name, error)) from None
+    if not port or not _HOST_NAME.fullmatch(host):
+        raise ValueError(
+            '{0}: {1!r} is not an address with a host name or IP address '
+            'and a port above 0'.format(name, address),
+        )
     return address
 
 
 def _parse_flag(fields: dict[str, str], name: str) -> bool:
     given = fields.get(name) or 'true'
-    if given not in {'true', 'false'}:
+    flag = _FLAGS.get(given.lower())
+    if flag is None:
         raise ValueError('{0}: {1!r} is not true or false'.format(name, given))
-    return given == 'true'
+    return flag
 
 
 def _parse_ms(fields: dict[str, str], name: str, default_ms: int) -> float:
@@ -176,4 +200,14 @@
         raise ValueError(
             '{0}: {1!r} is not a number'.format(name, given),
         ) from None
+    is_positive = number > 0 or name not in _POSITIVE_FIELDS
+    if not 0 <= number <= MAX_NUMBER or not is_positive:
+        raise ValueError(
+            '{0}: {1!r} is not a number {2} 0 and up to {3:.0f}'.format(
+                name,
+                given,
+                'above' if name in _POSITIVE_FIELDS else 'from',
+                MAX_NUMBER,
+            ),
+        )
     return int(number) if number.is_integer() else number
