Limit the bytes that one session stores and queues

A caller could make a daemon store 256 variables, 256 prepared statements and 64 queued statements of up to 1 MiB each, hundreds of mebibytes in one session, which exceeds the memory limit of an instance and ends the daemon.

The cause is that the limits of a session counted statements and not bytes.

Session state has 1 MiB now, queued statements 2 MiB, also before the session opens. The size of a statement is taken from its message, so the largest allowed one always fits in an empty queue. A variable that is set again is no longer counted as a new one.

--- a/celeryrelay/gateway/session.py
+++ b/celeryrelay/gateway/session.py
@@ -20,8 +20,10 @@
 )
 from celeryrelay.sessions import statements
 
-# Statements that a session may queue; one more closes its connection.
+# Statements that a session may queue, and their size in bytes; more close its
+# connection.
 MAX_QUEUED_STATEMENTS = 64
+MAX_QUEUED_BYTES = 2 * 1024 * 1024
 # Cause of an aborted transaction or a refused statement in the log.
 PLANNED_STOP = 'planned stop'
 
@@ -97,13 +99,20 @@
 
     def on_request(self, request: statements.Request) -> None:
         """Queue a statement and start it if no other one is running."""
-        if len(self._requests) >= MAX_QUEUED_STATEMENTS:
+        if self._is_queue_full(request):
             self._log.warning('session closed: too many queued statements')
             self.close()
             return
         self._requests.append((request, self._shared.clock.monotonic()))
         self._run_next()
 
+    def _is_queue_full(self, request: statements.Request) -> bool:
+        queued_bytes = sum(queued.size_bytes for queued, _ in self._requests)
+        return (
+            len(self._requests) >= MAX_QUEUED_STATEMENTS
+            or queued_bytes + request.size_bytes > MAX_QUEUED_BYTES
+        )
+
     def on_connection_lost(self) -> None:
         """Discard queued statements after the caller's connection closed.
 
--- a/celeryrelay/gateway/session_state.py
+++ b/celeryrelay/gateway/session_state.py
@@ -1,6 +1,7 @@
 """State that a session keeps between statements, and a statement's context."""
 
 import dataclasses
+import itertools
 
 import result
 
@@ -11,6 +12,8 @@
 # Limits on the memory that one session can use.
 MAX_VARIABLES = 256
 MAX_PREPARED_STATEMENTS = 256
+# Names and contents of the variables and prepared statements together.
+MAX_STATE_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,20 +46,53 @@
         """Apply a statement to the state; return a refusal if it is invalid."""
         match statement:
             case statements.SetVariable(name, setting):
-                if len(self.variables) >= MAX_VARIABLES:
-                    return _limit_exceeded('session variables', MAX_VARIABLES)
-                self.variables[name] = setting
+                return self._set_variable(name, setting)
             case statements.Prepare(name, template):
-                if len(self.prepared_statements) >= MAX_PREPARED_STATEMENTS:
-                    return _limit_exceeded(
-                        'prepared statements', MAX_PREPARED_STATEMENTS
-                    )
-                self.prepared_statements[name] = template
+                return self._prepare(name, template)
             case statements.Deallocate(name):
                 if self.prepared_statements.pop(name, None) is None:
                     return _unknown_prepared_statement(name)
         return None
 
+    def _set_variable(self, name: str, setting: str) -> outcomes.NotRun | None:
+        is_new = name not in self.variables
+        if is_new and len(self.variables) >= MAX_VARIABLES:
+            return _limit_exceeded('session variables', MAX_VARIABLES)
+        replaced = self.variables.get(name)
+        if not self._has_room(name, setting, replaced):
+            return _limit_exceeded('bytes of session state', MAX_STATE_BYTES)
+        self.variables[name] = setting
+        return None
+
+    def _prepare(
+        self, name: str, template: statements.Template
+    ) -> outcomes.NotRun | None:
+        replaced = self.prepared_statements.get(name)
+        is_full = len(self.prepared_statements) >= MAX_PREPARED_STATEMENTS
+        if replaced is None and is_full:
+            return _limit_exceeded(
+                'prepared statements', MAX_PREPARED_STATEMENTS
+            )
+        shape = replaced and replaced.shape
+        if not self._has_room(name, template.shape, shape):
+            return _limit_exceeded('bytes of session state', MAX_STATE_BYTES)
+        self.prepared_statements[name] = template
+        return None
+
+    def _has_room(self, name: str, content: str, replaced: str | None) -> bool:
+        """Return whether `content` under `name` fits, in place of `replaced`.
+
+        Texts have one byte in each character.
+        """
+        freed = 0 if replaced is None else len(name) + len(replaced)
+        variables = sum(map(len, itertools.chain(*self.variables.items())))
+        prepared = sum(
+            len(known) + len(template.shape)
+            for known, template in self.prepared_statements.items()
+        )
+        used = variables + prepared - freed
+        return used + len(name) + len(content) <= MAX_STATE_BYTES
+
     def resolve(
         self,
         statement: statements.Run | statements.Execute,
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -19,9 +19,10 @@
 }
 
 
-# Limit on the messages that are buffered while their session is being opened;
-# a caller that sends more is disconnected.
+# Limits on the statements that are buffered while their session is being
+# opened; a caller that sends more is disconnected.
 MAX_PENDING_MESSAGES = 64
+MAX_PENDING_BYTES = 2 * line_protocol.MAX_MESSAGE_BYTES
 
 
 class SessionOpener(typing.Protocol):
@@ -63,7 +64,7 @@
         self._transport: asyncio.Transport | None = None
         self._session: interfaces.SessionHandler | None = None
         self._phase = _Phase.new
-        self._pending_messages: list[line_protocol.CallerMessage] = []
+        self._pending_requests: list[statements.Request] = []
         self._opening_task: asyncio.Task | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -142,8 +143,8 @@
                 self._refuse(_malformed(problem))
             case (line_protocol.SessionStart(database), _Phase.new):
                 self._start_session(database)
-            case (_, _Phase.opening):
-                self._queue_message(message)
+            case (statements.Request(), _Phase.opening):
+                self._queue_request(message)
             case (statements.Request(), _Phase.open):
                 self._session.on_request(message)
             case _:
@@ -158,18 +159,20 @@
             self._open_when_configured(database)
         )
 
-    def _queue_message(self, message: line_protocol.CallerMessage) -> None:
-        if len(self._pending_messages) >= MAX_PENDING_MESSAGES:
+    def _queue_request(self, request: statements.Request) -> None:
+        self._pending_requests.append(request)
+        size_bytes = sum(one.size_bytes for one in self._pending_requests)
+        is_too_long = len(self._pending_requests) > MAX_PENDING_MESSAGES
+        if is_too_long or size_bytes > MAX_PENDING_BYTES:
+            self._pending_requests.clear()
             self._refuse(_malformed('too many messages at once'))
-            return
-        self._pending_messages.append(message)
 
     async def _open_when_configured(self, database: str) -> None:
         await self._opener.wait_for_configuration()
         self._opening_task = None
         self._open_session(database)
-        while self._pending_messages:
-            self._on_message(self._pending_messages.pop(0))
+        while self._pending_requests:
+            self._on_message(self._pending_requests.pop(0))
 
     def _open_session(self, database: str) -> None:
         match self._opener.open(self, database):
--- a/celeryrelay/platform/line_protocol.py
+++ b/celeryrelay/platform/line_protocol.py
@@ -84,7 +84,7 @@
     keyword, _, rest = line.decode(ENCODING).partition(' ')
     match keyword:
         case 'QUERY':
-            return _parse_query(rest)
+            return _parse_query(rest, len(line))
         case 'START':
             database, _, _ = rest.partition(' ')
             return (
@@ -98,11 +98,11 @@
             return BadMessage('unknown message')
 
 
-def _parse_query(rest: str) -> CallerMessage:
+def _parse_query(rest: str, size_bytes: int) -> CallerMessage:
     request_id, _, text = rest.partition(' ')
     if not request_id or request_id == INTERNAL_REQUEST_ID:
         return BadMessage('statement without an id')
-    return statements.Request(request_id, parse_statement(text))
+    return statements.Request(request_id, parse_statement(text), size_bytes)
 
 
 def parse_statement(text: str) -> statements.Statement:
--- a/celeryrelay/sessions/statements.py
+++ b/celeryrelay/sessions/statements.py
@@ -110,7 +110,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A statement with the request id that the caller gave it."""
+    """A statement with the request id that the caller gave it.
+
+    Attributes:
+        request_id: The request id.
+        statement: The statement.
+        size_bytes: Size of the message in which it was received.
+    """
 
     request_id: str
     statement: Statement
+    size_bytes: int = dataclasses.field(default=0, compare=False)
