End connections whose replies are malformed or endless

A caller could get lines that a backend server had sent before its request, lines that are no result, or two results in one answer. Rows without end were stored without a limit, which ends the daemon at its memory limit. A status row with a term of thousands of digits raised a ValueError in the task that replaces primaries.

The cause is that all lines up to one that begins with READY were taken as the reply, and that the term was converted without a limit.

Each line must now be allowed at its place, which makes mixed replies impossible: a connection that breaks the order is closed and its commands are lost.

--- a/celeryrelay/gateway/commands.py
+++ b/celeryrelay/gateway/commands.py
@@ -182,6 +182,11 @@
     position: positions.Position
 
 
+# Longer replies of a backend server end its connection. A link between daemons
+# carries a reply of this size in one frame.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+
+
 class ConnectError(enum.Enum):
     """Why a connection could not be opened.
 
--- a/celeryrelay/platform/backends.py
+++ b/celeryrelay/platform/backends.py
@@ -23,6 +23,8 @@
     'MAXCONN': commands.ConnectError.full,
     'MISROUTED': commands.ConnectError.other_server,
 }
+# No transaction, an open one, a failed one.
+_TRANSACTION_STATES = frozenset('ITE')
 # Fields of a status row: role, newest term, log position received, term held,
 # replication lag in milliseconds, busy slots, open connections.
 _STATUS_FIELD_COUNT = 7
@@ -107,6 +109,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending: collections.deque[asyncio.Future] = collections.deque()
         self._reply_lines: list[bytes] = []
+        self._reply_bytes = 0
         self._session_started = False
         self._close_reason = ''
 
@@ -115,6 +118,12 @@
         """Whether the connection has ended."""
         return bool(self._close_reason)
 
+    @property
+    def _has_result(self) -> bool:
+        """Whether the reply is complete but for its READY line."""
+        lines = self._reply_lines
+        return bool(lines) and not lines[-1].startswith(b'ROW')
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for later writes."""
         self._transport = transport
@@ -172,26 +181,44 @@
         return futures
 
     def _on_line(self, line: bytes) -> None:
+        if self.closed:
+            return
+        if not self._pending:
+            self.close('protocol error: line without a pending command')
+            return
+        keyword, _, _ = line.partition(b' ')
+        match keyword:
+            case b'READY' if self._has_result or not self._session_started:
+                self._complete_reply(line.decode(line_protocol.ENCODING))
+            case b'ERR' if not self._session_started:
+                self._add_line(line)
+                # The server sends no READY line after it refuses a session
+                # start.
+                self._complete_reply('READY I -')
+            case b'ROW' | b'DONE' | b'ERR' if not self._has_result:
+                self._add_line(line)
+            case _:
+                self.close('protocol error: unexpected line')
+
+    def _add_line(self, line: bytes) -> None:
         self._reply_lines.append(line)
-        if line.startswith(b'READY'):
-            self._complete_reply(line.decode(line_protocol.ENCODING))
-        elif line.startswith(b'ERR') and not self._session_started:
-            # The server sends no READY line after it refuses a session start.
-            self._complete_reply('READY I -')
+        self._reply_bytes += len(line) + len(line_protocol.LINE_END)
+        if self._reply_bytes > commands.MAX_REPLY_BYTES:
+            self.close(
+                'reply longer than {0} bytes'.format(commands.MAX_REPLY_BYTES)
+            )
 
     def _complete_reply(self, ready: str) -> None:
         lines = self._reply_lines
         self._reply_lines = []
-        if not self._pending:
-            self.close('protocol error: reply without a pending command')
-            return
+        self._reply_bytes = 0
         reply = parse_reply(lines, ready, self._group)
+        if reply is None:
+            self.close('protocol error: READY line without a state')
+            return
         if not self._session_started:
             self._session_started = True
             self.first_position = reply.position
-        elif not lines[:-1]:
-            self.close('protocol error: READY line without a preceding result')
-            return
         future = self._pending.popleft()
         if not future.done():
             future.set_result(reply)
@@ -206,18 +233,21 @@
                 future.set_result(commands.Lost(self._close_reason))
 
 
-def parse_reply(lines: list[bytes], ready: str, group: str) -> commands.Reply:
-    """Parse the reply of a backend server.
+def parse_reply(
+    content: list[bytes], ready: str, group: str
+) -> commands.Reply | None:
+    """Parse the reply of a backend server; None if its state is invalid.
 
     Args:
-        lines: All lines of the reply.
+        content: Lines of the reply before the READY line.
         ready: The READY line, which carries the transaction state and the log
             position.
         group: Database group to which the log position belongs.
     """
     _, _, rest = ready.partition(' ')
     state, _, position = rest.partition(' ')
-    content = [line for line in lines if not line.startswith(b'READY')]
+    if state not in _TRANSACTION_STATES:
+        return None
     last = content[-1].decode(line_protocol.ENCODING) if content else ''
     rows = [line for line in content if line.startswith(b'ROW ')]
     return commands.Reply(
@@ -279,12 +309,13 @@
     def status(self, reply: commands.Reply) -> commands.Status | None:
         """Parse the reply to `AskStatus`; None if it is malformed."""
         fields = reply.last_row.split(' ')
-        if len(fields) < _STATUS_FIELD_COUNT or not fields[1].isdecimal():
+        if len(fields) < _STATUS_FIELD_COUNT:
             return None
+        term = line_protocol.parse_term(fields[1])
         position = line_protocol.parse_position(fields[2], '')
-        if position is None:
+        if term is None or position is None:
             return None
-        return commands.Status(fields[0] == 'primary', int(fields[1]), position)
+        return commands.Status(fields[0] == 'primary', term, position)
 
     async def _connect(
         self,
--- a/celeryrelay/platform/line_protocol.py
+++ b/celeryrelay/platform/line_protocol.py
@@ -20,6 +20,7 @@
 # Request id of statements that the daemon issues itself.
 INTERNAL_REQUEST_ID = '-'
 
+_NUMBER = re.compile('[0-9]{1,18}')
 _POSITION = re.compile(r'([0-9]{1,18})[.]([0-9]{1,18})')
 # Lines end with CR LF only, but a backend server might also accept one of these
 # bytes as the end of a line and run the rest as a second statement.
@@ -156,6 +157,11 @@
     return positions.Position(group, int(found[1]), int(found[2]))
 
 
+def parse_term(text: str) -> int | None:
+    """Parse the number of a term; None if `text` is not one."""
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def format_position(position: positions.Position | None) -> str:
     """Format a log position as `term.offset`, an unknown one as `-`."""
     if position is None:
