Write messages and warnings of libraries to the log of the daemon

A daemon stopped responding for good when nobody read its standard error: asyncio reported 400 connections beyond the descriptor limit there, the pipe was full, and the write waited in the event loop.

Standard error is for a daemon that can't start. Both cases of the test wrote to standard error before.

--- a/celeryrelay/adapters/json_log.py
+++ b/celeryrelay/adapters/json_log.py
@@ -13,6 +13,7 @@
 
 import logbook
 import orjson
+from logbook import compat
 
 # Sustained rate and burst size of the rate limiter. Lines that exceed them are
 # dropped; the next line that is written is preceded by one with their number.
@@ -153,6 +154,17 @@
         os.set_blocking(descriptor, False)
         handlers.append(JsonLineHandler(descriptor, level))
     logbook.NestedSetup(handlers).push_application()
+    redirect_library_logs()
+
+
+def redirect_library_logs() -> None:
+    """Write what libraries log or warn of to the log of the daemon.
+
+    They would write to standard error, without a limit, and wait for its
+    reader.
+    """
+    compat.redirect_logging(set_root_logger_level=False)
+    compat.redirect_warnings()
 
 
 def get(component: str) -> logbook.Logger:
--- a/tests/adapters/test_json_log.py
+++ b/tests/adapters/test_json_log.py
@@ -5,7 +5,9 @@
 """
 
 import json
+import logging
 import os
+import warnings
 
 import logbook
 import pytest
@@ -94,3 +96,24 @@
     monkeypatch.setattr('sys.stdout', None)
     monkeypatch.setattr(logbook.NestedSetup, 'push_application', lambda _: None)
     json_log.configure('INFO')
+
+
+@pytest.mark.parametrize(
+    'report',
+    [
+        lambda: logging.getLogger('asyncio').warning('%s failed', 'send'),
+        lambda: warnings.warn('send failed', stacklevel=1),
+    ],
+)
+def test_messages_of_libraries_are_lines_of_the_log(
+    pipe, monkeypatch, capsys, report
+):
+    """Guards against a daemon that waits for a reader of standard error."""
+    reading, writing = pipe
+    monkeypatch.setattr(logging.root, 'handlers', [])
+    with warnings.catch_warnings():
+        json_log.redirect_library_logs()
+        with json_log.JsonLineHandler(writing, 'INFO').applicationbound():
+            report()
+    assert json.loads(os.read(reading, 4096))['event'] == 'send failed'
+    assert not capsys.readouterr().err
