Stop a daemon that still waits for a port at once

Seen: a daemon whose port was in use went on waiting for it after SIGTERM, for up to 10 s, and ended with exit code 1: past its grace and like an end by itself.

Cause: the signal set an event that was first looked at when all listeners were open.

Fix: a stop cancels the task that opens the listeners; the exit code is 0.

Evidence: before, the daemon of the new test had not ended 1 s after SIGTERM (TimeoutError).

--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -61,7 +61,10 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_changed_settings)
         opened = listeners.ListenerSet()
-        callers_listener = await self._listen(opened)
+        callers_listener = await self._listen_unless_stopped(opened)
+        if callers_listener is None:
+            opened.close()
+            return
         watcher = store_watcher.StoreWatcher(
             self._store,
             self._application,
@@ -79,6 +82,22 @@
         settings_task.cancel()
         opened.close()
 
+    async def _listen_unless_stopped(
+        self, opened: listeners.ListenerSet
+    ) -> asyncio.Server | None:
+        """Open all listeners; return None if a stop begins before that."""
+        opening = asyncio.create_task(self._listen(opened))
+        stopping = asyncio.create_task(self._stop.wait())
+        await asyncio.wait(
+            (opening, stopping), return_when=asyncio.FIRST_COMPLETED
+        )
+        stopping.cancel()
+        if opening.done():
+            return opening.result()
+        opening.cancel()
+        json_log.get('daemon').info('daemon stopped during its start')
+        return None
+
     async def _listen(self, opened: listeners.ListenerSet) -> asyncio.Server:
         """Open all listeners; return the one for callers."""
         options = self._options
--- a/tests/gateway/test_start_site.py
+++ b/tests/gateway/test_start_site.py
@@ -120,3 +120,17 @@
     (line,) = daemon.log()
     assert line['event'] == 'daemon not started'
     assert 'required fields are missing' in line['problem']
+
+
+async def test_stop_of_a_daemon_that_waits_for_a_port_is_graceful(site):
+    """Guards against a planned stop that ends with a failure."""
+    (daemon,) = site.daemons
+    with occupied(daemon.port):
+        starting = asyncio.create_task(daemon.start())
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not (daemon.log_path.exists() and daemon.log()):
+                await asyncio.sleep(POLL_S)
+        daemon.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(1):
+            assert await daemon.wait_for_exit() == 0
+        starting.cancel()
