Wait for a port as long as it is in use

Seen: a daemon whose port was held by another program's connection ended with exit code 1 after 10 s, and so would each restart: a closed connection (TIME_WAIT) holds its local port for 60 s, an open one without limit.

Cause: the wait for a port was limited to 10 s. The exit frees nothing.

Fix: the daemon waits, with a log line every 5 s; SIGTERM ends the wait.

Evidence: with a port that is free again after 12 s, the daemon of the new test had ended before (TimeoutError).

--- a/celeryrelay/adapters/listeners.py
+++ b/celeryrelay/adapters/listeners.py
@@ -1,7 +1,8 @@
 """Opens the listeners of a daemon, also while their ports are in use.
 
-A port may be in use for a moment, by the process before or as the local port of
-an outgoing connection.
+A port may be in use for a moment, by the process before, or for a minute or
+longer, as the local port of another program's connection. An exit would not free
+it: the next process would find it in use as well.
 """
 
 import asyncio
@@ -11,8 +12,8 @@
 from celeryrelay.adapters import json_log
 
 RETRY_PAUSE_S = 0.1
-# Longest wait for a port that is in use.
-IN_USE_TIMEOUT_S = 10.0
+# Interval between log lines on a port that stays in use.
+REPORT_INTERVAL_S = 5.0
 OPTIONAL_RETRY_PAUSE_S = 1.0
 
 OpenListener = abc.Callable[[], abc.Awaitable[asyncio.Server]]
@@ -24,23 +25,28 @@
 ) -> asyncio.Server:
     """Open a listener without which the daemon can't serve.
 
+    It waits as long as the port is in use.
+
     Args:
         name: Name of the listener in the log.
         open_listener: Opens it.
 
     Raises:
-        OSError: It can't be opened, or its port stays in use.
+        OSError: It can't be opened for another reason.
     """
     loop = asyncio.get_running_loop()
-    deadline = loop.time() + IN_USE_TIMEOUT_S
+    report_at = loop.time()
     log = json_log.get('daemon')
     while True:
         try:
             return await open_listener()
         except OSError as error:
-            if error.errno != errno.EADDRINUSE or loop.time() >= deadline:
+            if error.errno != errno.EADDRINUSE:
                 raise
-            log.warning('port in use', listener=name, problem=str(error))
+            problem = str(error)
+        if loop.time() >= report_at:
+            report_at += REPORT_INTERVAL_S
+            log.warning('port in use', listener=name, problem=problem)
         await asyncio.sleep(RETRY_PAUSE_S)
 
 
--- a/tests/gateway/test_start_site.py
+++ b/tests/gateway/test_start_site.py
@@ -10,6 +10,8 @@
 
 POLL_S = 0.005
 START_TIMEOUT_S = 15
+# Within the time in which the fixture expects a start.
+LONG_HOLD_S = 12
 
 
 @pytest.fixture
@@ -122,6 +124,15 @@
     assert 'required fields are missing' in line['problem']
 
 
+async def test_daemon_waits_longer_than_a_closed_connection_holds_a_port(site):
+    """Guards against ends in series while a port stays in use."""
+    (daemon,) = site.daemons
+    with occupied(daemon.port) as holder:
+        asyncio.get_running_loop().call_later(LONG_HOLD_S, holder.close)
+        await daemon.start()
+    assert await daemon.probe() == 200
+
+
 async def test_stop_of_a_daemon_that_waits_for_a_port_is_graceful(site):
     """Guards against a planned stop that ends with a failure."""
     (daemon,) = site.daemons
