Let the largest statements and replies fit in a frame

A caller that sent a statement of 1 MiB with bytes above 127 closed the link between two daemons, and with it the leases of all other callers on it.

The cause is the limit of frames, 2 MiB: texts are sent as UTF-8, which has two bytes for such a character, and the state of the session comes on top.

Before the fix, the new test failed: "frame of 6291448 bytes exceeds the size limit"; a statement alone had 2,097,285 bytes.

--- a/celeryrelay/adapters/link_codec.py
+++ b/celeryrelay/adapters/link_codec.py
@@ -13,8 +13,9 @@
 from celeryrelay.gateway import commands, connection_state, link_messages
 from celeryrelay.sessions import statements
 
-# Room for the largest statement or reply, which has 1 MiB, and its envelope.
-MAX_FRAME_BYTES = 2 * 1024 * 1024
+# Room for the largest reply, and for the largest statement with the state of its
+# session, whose texts may have two bytes for each byte of the caller.
+MAX_FRAME_BYTES = 2 * commands.MAX_REPLY_BYTES
 _LENGTH = struct.Struct('>I')
 
 _MESSAGE_TYPES: dict[str, type] = {
--- a/tests/adapters/test_link_codec.py
+++ b/tests/adapters/test_link_codec.py
@@ -132,3 +132,21 @@
 
 def test_frame_over_the_size_limit_is_an_error():
     assert link_codec.FrameSplitter().feed(b'\xff\xff\xff\xff').is_err()
+
+
+def test_largest_statement_and_reply_fit_in_a_frame():
+    """Guards against one statement that ends the link of all callers."""
+    text = 'WRITE i ' + '\xff' * (1024 * 1024 - 100)
+    template = statements.Template('\xff' * 1024 * 1024, writes=True)
+    needs = connection_state.RequiredSessionState(
+        {'n': '\xff' * 1024 * 1024}, template
+    )
+    run = commands.Run('q', statements.Run(text, writes=True), '', None)
+    rows = b'\xff' * commands.MAX_REPLY_BYTES
+    reply = commands.Reply(rows, None, None, last_row=text)
+    for message in (
+        link_messages.Execute(1, 1, (run,), needs),
+        link_messages.Answered(1, 1, reply),
+    ):
+        frame = link_codec.encode(message)
+        assert link_codec.FrameSplitter().feed(frame).is_ok()
