Refuse link messages of the wrong side, time or number

Between two daemons, a lease number that was used twice left a connection leased for as long as the link was open, a time of nan became a deadline in the event loop, and a message that holders do not send raised an AttributeError that ended the link with a traceback.

The cause is that types were checked, but not ranges, sides and numbers.

Times are now finite, and the other two end the link with a reason in the log.

--- a/celeryrelay/adapters/link_codec.py
+++ b/celeryrelay/adapters/link_codec.py
@@ -5,11 +5,13 @@
 """
 
 import struct
+import sys
 import typing
 
 import msgspec
 import result
 
+from celeryrelay.core import ranks
 from celeryrelay.gateway import commands, connection_state, link_messages
 from celeryrelay.sessions import statements
 
@@ -64,6 +66,15 @@
     bound: commands.positions.Position | None
 
 
+class _Acquire(msgspec.Struct):
+    """Encoded form of `link_messages.Acquire`, with a finite time."""
+
+    lease_id: int
+    server_id: str
+    rank: ranks.Rank
+    wait_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=sys.float_info.max)]
+
+
 class _Execute(msgspec.Struct):
     """Encoded form of `link_messages.Execute`, with tagged commands."""
 
@@ -153,6 +164,11 @@
             return _restore_execute(_decode_content(tagged, _Execute))
         case 'Run':
             return _restore_run(_decode_content(tagged, _Run))
+        case 'Acquire':
+            raw = _decode_content(tagged, _Acquire)
+            return link_messages.Acquire(
+                raw.lease_id, raw.server_id, raw.rank, raw.wait_ms
+            )
     return _decode_content(tagged, _MESSAGE_TYPES[tagged.kind])
 
 
--- a/celeryrelay/gateway/holder.py
+++ b/celeryrelay/gateway/holder.py
@@ -126,6 +126,9 @@
                 self._link.send(link_messages.Failed(lease_id, 0, problem))
 
     def _start_acquiring(self, request: link_messages.Acquire) -> None:
+        if request.lease_id in self._acquiring.keys() | self._granted.keys():
+            self._link.close('lease number in use')
+            return
         task = asyncio.create_task(self._acquire(request))
         self._acquiring[request.lease_id] = task
         task.add_done_callback(
--- a/celeryrelay/gateway/peer_links.py
+++ b/celeryrelay/gateway/peer_links.py
@@ -157,6 +157,9 @@
                 return
             case link_messages.Pong():
                 return
+            case _ if not isinstance(message, link_messages.FromHolder):
+                self.close('unexpected message')
+                return
         question = self._questions.get(message.lease_id)
         if question is not None and not question.done():
             question.set_result(_reply_of(message))
@@ -214,10 +217,10 @@
             self._ping_sent = True
             self._link.send(link_messages.Ping())
 
-    def close(self) -> None:
+    def close(self, problem: str = 'no longer needed') -> None:
         """Close the link."""
         if self._link is not None:
-            self._link.close('no longer needed')
+            self._link.close(problem)
 
     def _on_lease_message(
         self,
