Limit the time and memory of a client of the HTTP server

One client of the probe or metrics port could hold up a whole daemon: its pipelined requests were all handled before anything else ran, answers that it did not read were stored without a limit, and connections that sent nothing stayed open until no descriptor was left. HEAD requests got no answer.

The cause is that the server neither limited the time of a request, nor waited for the client to read, nor let other tasks run in between.

Each request now has 30 s with its response, and its connection is closed in any case.

--- a/celeryrelay/platform/http1.py
+++ b/celeryrelay/platform/http1.py
@@ -13,6 +13,9 @@
 from celeryrelay.core import addresses
 
 READ_BYTES = 65536
+# Longest time for a request to the server, from the response before it until its
+# own response is written.
+REQUEST_TIMEOUT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,13 +188,27 @@
     ) -> None:
         codec = h11.Connection(h11.SERVER)
         try:
-            while await self._serve_request(codec, reader, writer):
+            while await self._serve_next(codec, reader, writer):
                 codec.start_next_cycle()
         except (OSError, h11.ProtocolError):
             # The client sees its connection close and sends the request again.
             writer.transport.abort()
-            return
-        writer.close()
+        finally:
+            writer.close()
+
+    async def _serve_next(
+        self,
+        codec: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Serve a request in time; return whether another one may follow."""
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            is_open = await self._serve_request(codec, reader, writer)
+            await writer.drain()
+        # Pipelined requests let other tasks run in between.
+        await asyncio.sleep(0)
+        return is_open
 
     async def _serve_request(
         self,
@@ -200,11 +217,13 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         target = ''
+        has_body = True
         event = codec.next_event()
         while not isinstance(event, h11.EndOfMessage):
             match event:
                 case h11.Request():
                     target = event.target.decode('ascii')
+                    has_body = event.method != b'HEAD'
                 case h11.ConnectionClosed():
                     return False
             if event is h11.NEED_DATA:
@@ -216,6 +235,6 @@
             ('Content-Length', str(len(body))),
         ]
         head = codec.send(h11.Response(status_code=status, headers=headers))
-        tail = codec.send(h11.Data(data=body)) if body else b''
+        tail = codec.send(h11.Data(data=body)) if body and has_body else b''
         writer.write(head + tail + codec.send(h11.EndOfMessage()))
         return codec.our_state is h11.DONE
