Report daemons that end by themselves in a soak, and disturb starts

Operators saw daemons that did not start or ended by themselves. In a soak, a daemon that ended without a signal was not a violation of its own: it was not started again, and the next signal to it raised ProcessLookupError, which aborted the soak without a report. (Seen on the code before, with a daemon that was aborted 2 s before a fault of kind daemon_kill.) No fault met a daemon while it started, which is when SIGHUP and ports in use had ended it.

A supervisor now starts each process again after 0.5 s, as the platform does, and reports an end with its exit code and the last line of its log unless a signal explains that code. New kinds of faults restart a daemon and send SIGHUP, SIGTERM or SIGKILL in series, also while it starts; series overlap, on one daemon too. They are drawn from a random source of their own and begin after the others, so that the other faults of recorded seeds are unchanged.

The supervisor sends signals by process id: Popen.send_signal polls the process and takes its exit code away from asyncio, which then reports 255. SIGHUP is sent once the process ignores or handles it: before its first line (24 to 99 ms after the start in 15 starts) no program can.

--- a/standins/kvstore/local_deployment.py
+++ b/standins/kvstore/local_deployment.py
@@ -66,6 +66,11 @@
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
+        await self.spawn()
+        await self.wait_until_ready()
+
+    async def spawn(self) -> None:
+        """Start the process."""
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -80,6 +85,9 @@
                     'CELERYRELAY_BOOT': str(self.settings_path),
                 },
             )
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the readiness probe succeeds."""
         async with asyncio.timeout(PROCESS_TIMEOUT_S):
             while await self.probe() != 200:
                 await asyncio.sleep(0.05)
@@ -116,6 +124,11 @@
         lines = self.log_path.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith('{')]
 
+    def last_log_line(self) -> str:
+        """Return the last line of the log file, which may be a traceback's."""
+        lines = self.log_path.read_text(errors='replace').splitlines()
+        return lines[-1] if lines else ''
+
 
 class LocalDeployment:
     """Databases, store and daemons of one deployment.
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -10,7 +10,8 @@
 
     `daemon_*` signal a daemon process, `store_*` affect the store or one
     daemon's link to it, and `server_*` affect a backend server or its link.
-    `publish` publishes a new configuration.
+    `publish` publishes a new configuration. `start_*` restart a daemon and
+    signal it in series, also while it starts.
     """
 
     daemon_kill = 'daemon_kill'
@@ -35,6 +36,17 @@
     server_silent = 'server_silent'
     server_cut_one_way = 'server_cut_one_way'
     server_cut_from_daemon = 'server_cut_from_daemon'
+    start_hangups = 'start_hangups'
+    start_stops = 'start_stops'
+    start_kills = 'start_kills'
+
+
+START_KINDS = (
+    FaultKind.start_hangups,
+    FaultKind.start_stops,
+    FaultKind.start_kills,
+)
+OTHER_KINDS = tuple(kind for kind in FaultKind if kind not in START_KINDS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +79,8 @@
         connections: Connections that a server accepts; with few of them,
             daemons forward statements to the daemons that hold connections.
         callers: Number of concurrent callers.
-        faults_s: Time in seconds within which faults start.
+        faults_s: Time in seconds within which faults start, except those of
+            starting daemons.
         faults: Faults in the order of their start.
         deposes_primaries: Whether a promotion deposes the old primary.
     """
@@ -90,6 +103,11 @@
 MAX_FAULTS = 12
 MIN_FAULT_DURATION_S = 0.3
 MAX_FAULT_DURATION_S = 4.0
+# The starts of daemons are disturbed after the other faults have started, so
+# that they replace none of these.
+MIN_START_FAULTS = 1
+MAX_START_FAULTS = 3
+START_FAULTS_S = 2.0
 
 
 def generate(
@@ -111,7 +129,7 @@
     count = daemons or fleet[0]
     faults = [
         Fault(
-            source.choice(list(FaultKind)),
+            source.choice(OTHER_KINDS),
             source.uniform(0, faults_s),
             source.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S),
             source.randrange(count),
@@ -119,6 +137,7 @@
         )
         for _ in range(source.randint(MIN_FAULTS, MAX_FAULTS))
     ]
+    faults.extend(_generate_start_faults(seed, faults_s, count))
     return SoakPlan(
         seed=seed,
         daemons=count,
@@ -128,3 +147,25 @@
         faults=tuple(sorted(faults, key=lambda fault: fault.start_s)),
         deposes_primaries=deposes_primaries,
     )
+
+
+def _generate_start_faults(
+    seed: int,
+    begin_s: float,
+    daemons: int,
+) -> list[Fault]:
+    """Return the disturbed starts, from a random source of their own.
+
+    The other faults of a seed are the same with and without them.
+    """
+    source = random.Random(f'starts {seed}')
+    return [
+        Fault(
+            source.choice(START_KINDS),
+            begin_s + source.uniform(0, START_FAULTS_S),
+            source.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S),
+            source.randrange(daemons),
+            server=0,
+        )
+        for _ in range(source.randint(MIN_START_FAULTS, MAX_START_FAULTS))
+    ]
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -1,8 +1,8 @@
 """Runs one soak: starts daemons and callers, injects faults, checks results."""
 
 import asyncio
-import contextlib
 import dataclasses
+import itertools
 import pathlib
 import signal
 import time
@@ -10,13 +10,15 @@
 from standins.faultproxy import links
 from standins.kvstore import local_deployment
 from standins.linedb import group as groups
-from standins.soak import callers, checks, plan
+from standins.soak import callers, checks, plan, supervision
 
 FaultKind = plan.FaultKind
 LOOPBACK = '127.0.0.1'
 # Time after the last fault within which all daemons must serve writes again.
 RECOVERY_TIMEOUT_S = 12.0
-STOP_TIMEOUT_S = 8.0
+# Pauses between the signals of a series; a daemon starts in about 0.5 s.
+SIGNAL_PAUSES_S = (0.05, 0.6, 0.2, 0.4)
+CALM_CHECK_INTERVAL_S = 0.05
 # Number of the first caller that checks recovery; higher than the numbers of
 # all callers that generate load, so that request ids do not collide.
 FIRST_RECOVERY_CALLER = 1000
@@ -59,6 +61,7 @@
         self._site = local_deployment.LocalDeployment(directory)
         self._site.group.max_connections = soak_plan.connections
         self._site.group.deposes_primaries = soak_plan.deposes_primaries
+        self._supervisors: list[supervision.Supervisor] = []
         self._server_links: list[links.Link] = []
         self._store_links: list[links.Link] = []
         self._faulty_daemons: set[int] = set()
@@ -86,7 +89,10 @@
             )
             self._store_links.append(link)
             site.add_daemon(number, f'{LOOPBACK}:{link.port}')
-        await asyncio.gather(*(daemon.start() for daemon in site.daemons))
+        self._supervisors = [
+            supervision.Supervisor(daemon) for daemon in site.daemons
+        ]
+        await asyncio.gather(*(one.start() for one in self._supervisors))
 
     async def _open_link(self, name: str, address: str) -> links.Link:
         host, _, port = address.rpartition(':')
@@ -116,6 +122,7 @@
         return Outcome(
             [
                 *self._daemon_violations,
+                *self._supervision_violations(),
                 *checks.violations(group, load_callers, orders),
             ],
             len(writes),
@@ -125,6 +132,13 @@
             group.refused_connections,
         )
 
+    def _supervision_violations(self) -> list[str]:
+        return list(
+            itertools.chain.from_iterable(
+                one.violations for one in self._supervisors
+            )
+        )
+
     async def _check_recovery(self) -> None:
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
         for number, daemon in enumerate(self._site.daemons):
@@ -158,6 +172,8 @@
         await asyncio.sleep(fault.start_s)
         if fault.kind.startswith('daemon_'):
             await self._apply_daemon_fault(fault)
+        elif fault.kind in plan.START_KINDS:
+            await self._disturb_start(fault)
         elif fault.kind.startswith('store_'):
             await self._apply_store_fault(fault)
         elif fault.kind is FaultKind.publish:
@@ -170,51 +186,49 @@
         if fault.daemon in self._faulty_daemons:
             return
         self._faulty_daemons.add(fault.daemon)
-        daemon = self._site.daemons[fault.daemon]
+        supervisor = self._supervisors[fault.daemon]
         match fault.kind:
             case FaultKind.daemon_kill:
-                daemon.send_signal(signal.SIGKILL)
-                await daemon.wait_for_exit()
-                await asyncio.sleep(fault.duration_s / 2)
-                await self._restart(daemon)
+                await supervisor.restart(signal.SIGKILL, fault.duration_s / 2)
             case FaultKind.daemon_freeze:
-                daemon.send_signal(signal.SIGSTOP)
+                supervisor.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(fault.duration_s)
-                daemon.send_signal(signal.SIGCONT)
+                supervisor.send_signal(signal.SIGCONT)
             case FaultKind.daemon_stop:
-                daemon.send_signal(signal.SIGTERM)
-                await self._expect_clean_exit(daemon)
-                await self._restart(daemon)
+                await supervisor.restart(signal.SIGTERM, 0)
             case FaultKind.daemon_settings:
-                with daemon.settings_path.open('a') as settings:
-                    settings.write('comment=changed\n')
-                daemon.send_signal(signal.SIGHUP)
+                self._change_settings(fault.daemon)
+                supervisor.send_signal(signal.SIGHUP)
         self._faulty_daemons.discard(fault.daemon)
 
-    async def _restart(self, daemon: local_deployment.DaemonProcess) -> None:
-        # A daemon is not ready before it reaches the store, which another fault
-        # may prevent until after the time-out.
-        with contextlib.suppress(TimeoutError):
-            await daemon.start()
+    def _change_settings(self, number: int) -> None:
+        path = self._site.daemons[number].settings_path
+        with path.open('a') as settings:
+            settings.write('comment=changed\n')
 
-    async def _expect_clean_exit(
-        self, daemon: local_deployment.DaemonProcess
-    ) -> None:
-        try:
-            async with asyncio.timeout(STOP_TIMEOUT_S):
-                code = await daemon.wait_for_exit()
-        except TimeoutError:
-            self._daemon_violations.append(
-                f'{daemon.name} did not exit within {STOP_TIMEOUT_S} s after '
-                f'SIGTERM'
-            )
-            daemon.send_signal(signal.SIGKILL)
-            await daemon.wait_for_exit()
-            return
-        if code:
-            self._daemon_violations.append(
-                f'{daemon.name} exited with code {code} after SIGTERM'
-            )
+    async def _disturb_start(self, fault: plan.Fault) -> None:
+        """Restart a daemon and signal it in series, also while it starts.
+
+        Series overlap, also on one daemon, but not with other daemon faults: a
+        daemon that is frozen can't stop in time.
+        """
+        while fault.daemon in self._faulty_daemons:
+            await asyncio.sleep(CALM_CHECK_INTERVAL_S)
+        supervisor = self._supervisors[fault.daemon]
+        supervisor.send_signal(signal.SIGKILL)
+        end = time.monotonic() + fault.duration_s
+        for pause_s in itertools.cycle(SIGNAL_PAUSES_S):
+            await asyncio.sleep(pause_s)
+            if time.monotonic() >= end:
+                return
+            match fault.kind:
+                case FaultKind.start_hangups:
+                    self._change_settings(fault.daemon)
+                    supervisor.hang_up()
+                case FaultKind.start_stops:
+                    supervisor.send_signal(signal.SIGTERM)
+                case FaultKind.start_kills:
+                    supervisor.send_signal(signal.SIGKILL)
 
     async def _apply_store_fault(self, fault: plan.Fault) -> None:
         service = self._site.store_service
@@ -291,6 +305,8 @@
         return found, self._server_links[servers.index(found)]
 
     async def _stop(self) -> None:
+        for supervisor in self._supervisors:
+            supervisor.close()
         for daemon in self._site.daemons:
             process = daemon.process
             if process is not None and process.returncode is None:
