Keep descriptors for the daemon's own connections

Cause: no listener limited its connections or closed silent ones, and neither `limits.max_fds` nor the limit of the process was read. At EMFILE the accept loop of asyncio runs `backlog` times, and each turn writes a traceback and schedules another loop.

On the untouched code the new test fails for the port of callers (BUSY for a write of an open session), for sessions beyond the descriptors (no answer within 2 s) and for a failed accept (no line in the JSON log).

The smaller limit is now divided (pure, `admission/connection_limits`). Callers beyond their part get BUSY at once, with a time to come back, which is true since nothing was run; other connections are closed. One that says nothing is closed after 10 s, or after 0.5 s when another needs its place. A failed accept pauses the listener for 0.1 s and logs once a second.

The tests of callers and of the HTTP server pass the guard that `listen` now needs; their checks are unchanged.

--- /dev/null
+++ b/celeryrelay/adapters/connection_guard.py
@@ -0,0 +1,87 @@
+"""Keeps the connections of a listener within their limit."""
+
+import asyncio
+from collections import abc
+
+from celeryrelay.adapters import json_log
+from celeryrelay.admission import connection_limits
+
+CHECK_INTERVAL_S = 1.0
+
+CountEvent = abc.Callable[[str], None]
+
+
+class ConnectionGuard:
+    """Refuses connections beyond a limit and closes silent ones.
+
+    The log has a line a second at most about both.
+    """
+
+    def __init__(self, name: str, limit: int, count_event: CountEvent) -> None:
+        """Admit `limit` connections at a time.
+
+        Args:
+            name: Name of the listener in the log and the metrics.
+            limit: Most open connections.
+            count_event: Counts an event of a kind.
+        """
+        self._name = name
+        self._limit = limit
+        self._count_event = count_event
+        self._connections = connection_limits.ConnectionLimit(limit)
+        self._refused = 0
+        self._silent = 0
+        self._check: asyncio.TimerHandle | None = None
+        self._log = json_log.get('daemon')
+
+    def admit(self, transport: asyncio.BaseTransport) -> bool:
+        """Return whether a new connection may stay; the caller closes it."""
+        loop = asyncio.get_running_loop()
+        if self._check is None:
+            self._check = loop.call_later(CHECK_INTERVAL_S, self._run_check)
+        match self._connections.admit(transport, loop.time()):
+            case connection_limits.Refused():
+                self._refused += 1
+                self._count_event('{0}_refused'.format(self._name))
+                return False
+            case connection_limits.Admitted(displaced):
+                if displaced is not None:
+                    self._close_silent(displaced)
+        return True
+
+    def touch(self, transport: asyncio.BaseTransport) -> None:
+        """Record a message after which more are awaited."""
+        now = asyncio.get_running_loop().time()
+        self._connections.touch(transport, now)
+
+    def keep(self, transport: asyncio.BaseTransport) -> None:
+        """Let a connection stay that has a session now."""
+        self._connections.keep(transport)
+
+    def discard(self, transport: asyncio.BaseTransport) -> None:
+        """Remove a connection that has ended."""
+        self._connections.discard(transport)
+
+    def _run_check(self) -> None:
+        self._check = None
+        loop = asyncio.get_running_loop()
+        for transport in self._connections.expired(loop.time()):
+            self._connections.discard(transport)
+            self._close_silent(transport)
+        if self._refused or self._silent:
+            self._log.warning(
+                'connections refused or closed',
+                listener=self._name,
+                refused=self._refused,
+                silent=self._silent,
+                limit=self._limit,
+            )
+        self._refused = 0
+        self._silent = 0
+        if self._connections:
+            self._check = loop.call_later(CHECK_INTERVAL_S, self._run_check)
+
+    def _close_silent(self, transport: asyncio.Transport) -> None:
+        self._silent += 1
+        self._count_event('{0}_silent'.format(self._name))
+        transport.abort()
--- a/celeryrelay/adapters/links.py
+++ b/celeryrelay/adapters/links.py
@@ -8,7 +8,12 @@
 
 import result
 
-from celeryrelay.adapters import link_codec, socket_options
+from celeryrelay.adapters import (
+    acceptor,
+    connection_guard,
+    link_codec,
+    socket_options,
+)
 from celeryrelay.core import addresses
 from celeryrelay.gateway import interfaces, link_messages
 
@@ -84,6 +89,34 @@
             self._handler.on_closed(self._close_reason)
 
 
+class _AcceptedLink(LinkConnection):
+    """A link that another daemon opened."""
+
+    def __init__(
+        self,
+        make_handler: HandlerFactory,
+        guard: connection_guard.ConnectionGuard,
+    ) -> None:
+        super().__init__(make_handler)
+        self._guard = guard
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if self._guard.admit(transport):
+            super().connection_made(transport)
+        else:
+            transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self._transport is not None:
+            self._guard.discard(self._transport)
+        super().connection_lost(error)
+
+    def _handle_frame(self, body: bytes) -> None:
+        super()._handle_frame(body)
+        if not self.closed:
+            self._guard.keep(self._transport)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _FixedHandlerFactory:
     """Factory that returns the handler with which it was created."""
@@ -122,12 +155,9 @@
 async def listen(
     make_handler: HandlerFactory,
     address: str,
-) -> asyncio.Server:
+    guard: connection_guard.ConnectionGuard,
+) -> acceptor.Acceptor:
     """Listen for links on `address` (`host:port`)."""
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        functools.partial(LinkConnection, make_handler),
-        *addresses.parse(address),
-        backlog=1024,
-        reuse_address=True,
+    return await acceptor.listen(
+        functools.partial(_AcceptedLink, make_handler, guard), address
     )
--- a/celeryrelay/adapters/listeners.py
+++ b/celeryrelay/adapters/listeners.py
@@ -9,20 +9,20 @@
 import errno
 from collections import abc
 
-from celeryrelay.adapters import json_log
+from celeryrelay.adapters import acceptor, json_log
 
 RETRY_PAUSE_S = 0.1
 # Interval between log lines on a port that stays in use.
 REPORT_INTERVAL_S = 5.0
 OPTIONAL_RETRY_PAUSE_S = 1.0
 
-OpenListener = abc.Callable[[], abc.Awaitable[asyncio.Server]]
+OpenListener = abc.Callable[[], abc.Awaitable[acceptor.Acceptor]]
 
 
 async def open_required(
     name: str,
     open_listener: OpenListener,
-) -> asyncio.Server:
+) -> acceptor.Acceptor:
     """Open a listener without which the daemon can't serve.
 
     It waits as long as the port is in use.
@@ -57,13 +57,13 @@
         """Prepare a listener that `open_listener` opens."""
         self._name = name
         self._open_listener = open_listener
-        self._server: asyncio.Server | None = None
+        self._acceptor: acceptor.Acceptor | None = None
         self._log = json_log.get('daemon')
 
     async def try_open(self) -> bool:
         """Open the listener; return whether that succeeded."""
         try:
-            self._server = await self._open_listener()
+            self._acceptor = await self._open_listener()
         except OSError as error:
             self._log.error(
                 'listener not open', listener=self._name, problem=str(error)
@@ -78,8 +78,8 @@
 
     def close(self) -> None:
         """Close the listener if it is open."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
 
 
 class ListenerSet:
@@ -92,13 +92,13 @@
 
     def __init__(self) -> None:
         """Create an empty set."""
-        self.required: list[asyncio.Server] = []
+        self.required: list[acceptor.Acceptor] = []
         self.optional: list[OptionalListener] = []
         self._tasks: list[asyncio.Task] = []
 
     async def add_required(
         self, name: str, open_listener: OpenListener
-    ) -> asyncio.Server:
+    ) -> acceptor.Acceptor:
         """Open a listener without which the daemon can't serve."""
         server = await open_required(name, open_listener)
         self.required.append(server)
--- a/celeryrelay/gateway/settings.py
+++ b/celeryrelay/gateway/settings.py
@@ -27,6 +27,8 @@
         deposes_primaries: Whether the platform deposes the old primary when it
             promotes another server, and refuses outdated promotion orders.
         capacity: Number of processor cores that the daemon may use.
+        connection_limit: Number of connections that the platform lets the
+            daemon open, 0 if it sets no limit.
         log_level: Lowest level of log lines that are written.
     """
 
@@ -45,6 +47,7 @@
     apply_s: float = 3
     deposes_primaries: bool = True
     capacity: float = 1
+    connection_limit: int = 0
     log_level: str = 'INFO'
 
     def region(self, availability_zone: str) -> str:
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -6,9 +6,9 @@
 
 import result
 
-from celeryrelay.core import addresses, outcomes, positions
+from celeryrelay.core import outcomes, positions
 from celeryrelay.gateway import commands, interfaces
-from celeryrelay.adapters import socket_options
+from celeryrelay.adapters import acceptor, connection_guard, socket_options
 from celeryrelay.platform import line_protocol
 from celeryrelay.sessions import statements
 
@@ -23,6 +23,8 @@
 # opened; a caller that sends more is disconnected.
 MAX_PENDING_MESSAGES = 64
 MAX_PENDING_BYTES = 2 * line_protocol.MAX_MESSAGE_BYTES
+# Longest wait for the first message of a connection that was refused.
+REFUSED_LINGER_S = 0.5
 
 
 class SessionOpener(typing.Protocol):
@@ -45,6 +47,7 @@
 
 class _Phase(enum.Enum):
     new = 'new'
+    refused = 'refused'
     opening = 'opening'
     open = 'open'
     closed = 'closed'
@@ -57,9 +60,19 @@
     were received.
     """
 
-    def __init__(self, opener: SessionOpener) -> None:
-        """Create an unconnected protocol whose session `opener` opens."""
+    def __init__(
+        self,
+        opener: SessionOpener,
+        guard: connection_guard.ConnectionGuard,
+    ) -> None:
+        """Create an unconnected protocol.
+
+        Args:
+            opener: Opens the session.
+            guard: Limits the connections of callers.
+        """
         self._opener = opener
+        self._guard = guard
         self._splitter = line_protocol.LineSplitter()
         self._transport: asyncio.Transport | None = None
         self._session: interfaces.SessionHandler | None = None
@@ -68,12 +81,17 @@
         self._opening_task: asyncio.Task | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and set its TCP options."""
+        """Set the TCP options, or refuse a connection beyond the limit."""
         self._transport = transport
         socket_options.set_tcp_options(transport)
+        if not self._guard.admit(transport):
+            self._refuse_at_limit(transport)
 
     def data_received(self, received: bytes) -> None:
         """Handle the messages that have been received in full."""
+        if self._phase is _Phase.refused:
+            self.close()
+            return
         match self._splitter.feed(received):
             case result.Ok(lines):
                 for line in lines:
@@ -84,6 +102,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the session that its connection has closed."""
         self._phase = _Phase.closed
+        self._guard.discard(self._transport)
         if self._opening_task is not None:
             self._opening_task.cancel()
         if self._session is not None:
@@ -151,6 +170,7 @@
                 self._refuse(_malformed('message out of order'))
 
     def _start_session(self, database: str) -> None:
+        self._guard.keep(self._transport)
         if self._opener.has_configuration:
             self._open_session(database)
             return
@@ -183,6 +203,17 @@
                 self._phase = _Phase.open
                 self._write(line_protocol.format_ready('I', None))
 
+    def _refuse_at_limit(self, transport: asyncio.Transport) -> None:
+        """Refuse a connection, which is closed after its first message.
+
+        Closing it with unread bytes would reset it, and the caller might not
+        receive the refusal.
+        """
+        self._phase = _Phase.refused
+        self._write(line_protocol.format_refusal(_too_many_connections()))
+        loop = asyncio.get_running_loop()
+        loop.call_later(REFUSED_LINGER_S, transport.abort)
+
     def _refuse(self, refusal: outcomes.NotRun) -> None:
         self._write(line_protocol.format_refusal(refusal))
         self.close()
@@ -196,12 +227,20 @@
     return outcomes.NotRun(outcomes.Reason.malformed, problem)
 
 
-async def listen(opener: SessionOpener, address: str) -> asyncio.Server:
+def _too_many_connections() -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.overload,
+        'the daemon has as many connections as it may have',
+        retry_after_ms=1000,
+    )
+
+
+async def listen(
+    opener: SessionOpener,
+    address: str,
+    guard: connection_guard.ConnectionGuard,
+) -> acceptor.Acceptor:
     """Listen for callers on `address` (`host:port`)."""
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        lambda: CallerConnection(opener),
-        *addresses.parse(address),
-        backlog=1024,
-        reuse_address=True,
+    return await acceptor.listen(
+        lambda: CallerConnection(opener, guard), address
     )
--- a/celeryrelay/platform/http1.py
+++ b/celeryrelay/platform/http1.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import socket
 import typing
 from collections import abc
@@ -9,13 +10,13 @@
 import h11
 import result
 
-from celeryrelay.adapters import socket_options
+from celeryrelay.adapters import acceptor, connection_guard, socket_options
 from celeryrelay.core import addresses
 
 READ_BYTES = 65536
 # Longest time for a request to the server, from the response before it until its
 # own response is written.
-REQUEST_TIMEOUT_S = 30.0
+REQUEST_TIMEOUT_S = 15.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,29 +174,48 @@
         """
         self._handler = handler
 
-    async def listen(self, address: str) -> asyncio.Server:
+    async def listen(
+        self,
+        address: str,
+        guard: connection_guard.ConnectionGuard,
+    ) -> acceptor.Acceptor:
         """Listen for connections on `address` (`host:port`)."""
-        return await asyncio.start_server(
-            self._serve_connection,
-            *addresses.parse(address),
-            reuse_address=True,
+        serve = functools.partial(self._serve_connection, guard)
+        return await acceptor.listen(
+            lambda: asyncio.StreamReaderProtocol(asyncio.StreamReader(), serve),
+            address,
         )
 
     async def _serve_connection(
         self,
+        guard: connection_guard.ConnectionGuard,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        codec = h11.Connection(h11.SERVER)
+        transport = writer.transport
+        if not guard.admit(transport):
+            transport.abort()
+            return
         try:
-            while await self._serve_next(codec, reader, writer):
-                codec.start_next_cycle()
+            await self._serve_requests(guard, reader, writer)
         except (OSError, h11.ProtocolError):
             # The client sees its connection close and sends the request again.
-            writer.transport.abort()
+            transport.abort()
         finally:
+            guard.discard(transport)
             writer.close()
 
+    async def _serve_requests(
+        self,
+        guard: connection_guard.ConnectionGuard,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        codec = h11.Connection(h11.SERVER)
+        while await self._serve_next(codec, reader, writer):
+            guard.touch(writer.transport)
+            codec.start_next_cycle()
+
     async def _serve_next(
         self,
         codec: h11.Connection,
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -9,7 +9,15 @@
 
 import result
 
-from celeryrelay.adapters import json_log, links, listeners
+from celeryrelay.adapters import (
+    acceptor,
+    connection_guard,
+    descriptors,
+    json_log,
+    links,
+    listeners,
+)
+from celeryrelay.admission import connection_limits
 from celeryrelay.core import addresses
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import application, settings
@@ -38,6 +46,9 @@
         self._options = options
         self._path = path
         self._metrics_port = addresses.parse(options.metrics_address).port
+        self._descriptor_limit = descriptors.connection_limit(
+            options.connection_limit
+        )
         self._stop = asyncio.Event()
         self._store = stores.StoreClient(options.store_address)
         self._application = application.Application(
@@ -84,7 +95,7 @@
 
     async def _listen_unless_stopped(
         self, opened: listeners.ListenerSet
-    ) -> asyncio.Server | None:
+    ) -> acceptor.Acceptor | None:
         """Open all listeners; return None if a stop begins before that."""
         opening = asyncio.create_task(self._listen(opened))
         stopping = asyncio.create_task(self._stop.wait())
@@ -98,9 +109,10 @@
         json_log.get('daemon').info('daemon stopped during its start')
         return None
 
-    async def _listen(self, opened: listeners.ListenerSet) -> asyncio.Server:
+    async def _listen(self, opened: listeners.ListenerSet) -> acceptor.Acceptor:
         """Open all listeners; return the one for callers."""
         options = self._options
+        budget = connection_limits.plan(self._descriptor_limit)
         http_server = http1.HttpServer(self._respond)
         callers_listener = await opened.add_required(
             'callers',
@@ -108,11 +120,16 @@
                 callers.listen,
                 self._application.sessions,
                 options.caller_address,
+                self._guard('callers', budget.callers),
             ),
         )
         await opened.add_required(
             'probes',
-            functools.partial(http_server.listen, options.probe_address),
+            functools.partial(
+                http_server.listen,
+                options.probe_address,
+                self._guard('probes', budget.page),
+            ),
         )
         await opened.add_optional(
             'links',
@@ -120,14 +137,31 @@
                 links.listen,
                 self._application.holder.accept,
                 options.link_address,
+                self._guard('links', budget.links),
             ),
         )
         await opened.add_optional(
             'metrics',
-            functools.partial(http_server.listen, options.metrics_address),
+            functools.partial(
+                http_server.listen,
+                options.metrics_address,
+                self._guard('metrics', budget.page),
+            ),
         )
         return callers_listener
 
+    def _guard(self, name: str, limit: int) -> connection_guard.ConnectionGuard:
+        count_event = self._application.shared.metrics.event
+        return connection_guard.ConnectionGuard(name, limit, count_event)
+
+    def _render_metrics(self) -> bytes:
+        metrics = self._application.shared.metrics
+        metrics.level('descriptor_limit', self._descriptor_limit)
+        open_count = descriptors.open_count()
+        if open_count is not None:
+            metrics.level('descriptors', open_count)
+        return self._application.render_metrics()
+
     def _respond(self, target: str) -> tuple[int, str, bytes]:
         path, _, _ = target.partition('?')
         match path:
@@ -139,7 +173,7 @@
                     else (503, _PLAIN_TEXT, b'')
                 )
             case '/metrics':
-                body = self._application.render_metrics()
+                body = self._render_metrics()
                 return 200, gateway_metrics.CONTENT_TYPE, body
         return 404, _PLAIN_TEXT, b''
 
--- a/celeryrelay/platform/settings_file.py
+++ b/celeryrelay/platform/settings_file.py
@@ -27,6 +27,8 @@
 # Longer times and larger limits are taken for mistakes.
 MAX_NUMBER = 1e9
 _POSITIVE_FIELDS = frozenset(('limits.cpu_share', 'limits.cores'))
+# Descriptors of `limits.max_fds` that are not available for connections.
+RESERVED_DESCRIPTORS = 200
 _REGION_FIELD_PREFIX = 'zones.'
 # Backend servers and the store get the instance name as a word or key.
 _INSTANCE_NAME = re.compile('[!-~]{1,100}')
@@ -103,6 +105,7 @@
         store_address=_parse_address(fields, 'platform.addr'),
         orders_address=_parse_address(fields, 'cloud.addr'),
         capacity=_cpu_capacity(fields),
+        connection_limit=_connection_limit(fields),
         deposes_primaries=_parse_flag(fields, 'bounds.fencing'),
         stop_grace_s=_parse_number(
             'bounds.grace_s', fields.get('bounds.grace_s') or STOP_GRACE_S
@@ -158,6 +161,14 @@
     return given
 
 
+def _connection_limit(fields: dict[str, str]) -> int:
+    given = fields.get('limits.max_fds')
+    if not given:
+        return 0
+    descriptors = int(_parse_number('limits.max_fds', given))
+    return max(descriptors - RESERVED_DESCRIPTORS, 1)
+
+
 def _parse_address(fields: dict[str, str], name: str) -> str:
     return _checked_address(name, fields[name])
 
--- a/standins/kvstore/local_deployment.py
+++ b/standins/kvstore/local_deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import sys
 import typing
@@ -24,7 +25,12 @@
 
 
 class DaemonProcess:
-    """Daemon process with its settings file and log file."""
+    """Daemon process with its settings file and log file.
+
+    Attributes:
+        limits: Limits of the process by the resource, such as
+            `resource.RLIMIT_NOFILE`.
+    """
 
     def __init__(
         self,
@@ -47,6 +53,7 @@
         self.settings_path = directory / f'{name}.conf'
         self.log_path = directory / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
+        self.limits: dict[int, int] = {}
         zone = ZONES[int(name.rpartition('-')[2]) % len(ZONES)]
         settings = {
             'node': name,
@@ -84,6 +91,7 @@
                     **os.environ,
                     'CELERYRELAY_BOOT': str(self.settings_path),
                 },
+                preexec_fn=self._set_limits if self.limits else None,
             )
 
     async def wait_until_ready(self) -> None:
@@ -119,6 +127,10 @@
         async with asyncio.timeout(PROCESS_TIMEOUT_S):
             return await self.process.wait()
 
+    def _set_limits(self) -> None:
+        for limited, most in self.limits.items():
+            resource.setrlimit(limited, (most, most))
+
     def log(self) -> list[dict[str, typing.Any]]:
         """Return the decoded JSON lines of the log file."""
         lines = self.log_path.read_text().splitlines()
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from celeryrelay.adapters import connection_guard
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import application, catalog, session_registry
 from celeryrelay.platform import callers
@@ -26,7 +27,8 @@
 
 @pytest.fixture
 async def client(daemon):
-    listener = await callers.listen(daemon.sessions, '127.0.0.1:0')
+    guard = connection_guard.ConnectionGuard('callers', 8, lambda kind: None)
+    listener = await callers.listen(daemon.sessions, '127.0.0.1:0', guard)
     _, port = listener.sockets[0].getsockname()
     connected = clients.Client(port)
     yield connected
--- a/tests/platform/test_generated_callers.py
+++ b/tests/platform/test_generated_callers.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import strategies
 
+from celeryrelay.adapters import connection_guard
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import application, commands
 from celeryrelay.platform import callers, line_protocol
@@ -77,7 +78,10 @@
         executors.transactions,
     ):
         executor.run = run
-    connection = callers.CallerConnection(daemon.sessions)
+    connection = callers.CallerConnection(
+        daemon.sessions,
+        connection_guard.ConnectionGuard('callers', 8, print),
+    )
     connection.connection_made(FakeTransport())
     return connection
 
@@ -155,7 +159,10 @@
         application.Adapters(None, None, None, None),
         clocks.SystemClock(),
     )
-    connection = callers.CallerConnection(daemon.sessions)
+    connection = callers.CallerConnection(
+        daemon.sessions,
+        connection_guard.ConnectionGuard('callers', 8, print),
+    )
     connection.connection_made(FakeTransport())
     connection.data_received(b'START d1 x\r\n')
     for _ in range(8):
--- a/tests/platform/test_generated_http.py
+++ b/tests/platform/test_generated_http.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import strategies
 
+from celeryrelay.adapters import connection_guard
 from celeryrelay.platform import http1
 
 SETTINGS = hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
@@ -43,7 +44,8 @@
         self._server = http1.HttpServer(handler)
 
     async def __aenter__(self):
-        self._listener = await self._server.listen('127.0.0.1:0')
+        guard = connection_guard.ConnectionGuard('probes', 100, print)
+        self._listener = await self._server.listen('127.0.0.1:0', guard)
         host, port = self._listener.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         return self
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -96,3 +96,9 @@
     load(tmp_path, internal_ports=internal_ports)
     loaded = settings_file.load(str(tmp_path / 'boot.conf'), 9464)
     assert 'internal_ports' in loaded.err_value
+
+
+@pytest.mark.parametrize(('given', 'limit'), [('4300', 4100), ('', 0)])
+def test_descriptor_limit_excludes_those_for_files(tmp_path, given, limit):
+    loaded = load(tmp_path, **{'limits.max_fds': given}).ok_value
+    assert loaded.connection_limit == limit
