Leave standard output blocking for the processes that share it

Seen: a daemon set its standard output to non-blocking mode. Its parent and all processes that share the output had that mode too, also after the daemon's end: one run each with a pipe, a terminal, a socket and a file. Beside a slow reader a shell's echo then fails with an I/O error, and dd ends with code 1.

Cause: the mode belongs to the open file description, which is shared.

Fix: the log opens a pipe or terminal again, as a description of its own, writes to a socket with MSG_DONTWAIT, and needs neither for a file. A pipe that can't be opened is asked for room before each write.

--- a/celeryrelay/adapters/json_log.py
+++ b/celeryrelay/adapters/json_log.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import os
 import sys
 import time
 import typing
@@ -15,6 +14,8 @@
 import orjson
 from logbook import compat
 
+from celeryrelay.adapters import shared_output
+
 # Sustained rate and burst size of the rate limiter. Lines that exceed them are
 # dropped; the next line that is written is preceded by one with their number.
 LINES_PER_S = 120
@@ -64,9 +65,9 @@
     """Writes each record as a JSON object to a file descriptor."""
 
     def __init__(self, descriptor: int, level: str) -> None:
-        """Write records of `level` and above to a non-blocking descriptor."""
+        """Write records of `level` and above to a descriptor."""
         super().__init__(level=level)
-        self._descriptor = descriptor
+        self._write_bytes = shared_output.open_writer(descriptor)
         self._pending: collections.deque[bytes] = collections.deque()
         self._pending_bytes = 0
         self.rate_limiter = RateLimiter(LINES_PER_S, BURST_LINES)
@@ -94,7 +95,7 @@
         self._pending_bytes += len(line)
         while self._pending:
             try:
-                written = os.write(self._descriptor, self._pending[0])
+                written = self._write_bytes(self._pending[0])
             except BlockingIOError:
                 return
             except OSError:
@@ -150,9 +151,7 @@
     logbook.set_datetime_format('utc')
     handlers: list[logbook.Handler] = [logbook.NullHandler()]
     if sys.stdout is not None:
-        descriptor = sys.stdout.fileno()
-        os.set_blocking(descriptor, False)
-        handlers.append(JsonLineHandler(descriptor, level))
+        handlers.append(JsonLineHandler(sys.stdout.fileno(), level))
     logbook.NestedSetup(handlers).push_application()
     redirect_library_logs()
 
