Pause between calls to a store that brings nothing new

A daemon called the store in a loop without a pause, at the cost of its processor and of the calls that all daemons share, while the store answered at once with a revision of 0, a history that is gone, the same page, or events that were known. An empty page that was not the last one ended the read, and all servers on later pages counted as gone.

The cause is that any answer without an error was taken as progress.

Now an answer that neither raises the revision nor was held by the store is followed by a pause, and pages that do not advance are an error, whose retry has a pause as well.

--- a/celeryrelay/platform/store_watcher.py
+++ b/celeryrelay/platform/store_watcher.py
@@ -14,6 +14,8 @@
 
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
+# Pause after an answer that came sooner and brought nothing new.
+NO_PROGRESS_PAUSE_S = 0.1
 # Until a daemon has read the store it can't serve callers, so it retries more
 # often.
 MAX_STARTUP_RETRY_DELAY_S = 0.25
@@ -81,10 +83,16 @@
 
     async def run(self) -> typing.NoReturn:
         """Watch the store until the task is cancelled."""
+        clock = asyncio.get_running_loop().time
         while True:
+            begun = clock()
+            before = self._revision
             match await self._read_or_watch():
                 case result.Ok(_):
                     self._on_reachable()
+                    is_held = clock() - begun >= NO_PROGRESS_PAUSE_S
+                    if self._revision <= before and not is_held:
+                        await asyncio.sleep(NO_PROGRESS_PAUSE_S)
                 case result.Err(problem):
                     self._on_unreachable(problem)
                     await asyncio.sleep(
@@ -137,6 +145,7 @@
         items: list[catalog.StoreChange] = []
         revision = 0
         after = ''
+        seen = {after}
         while True:
             match await self._client.read_all(after):
                 case result.Err(problem):
@@ -148,9 +157,14 @@
                     revision = revision or page.store_revision
                     for raw in page.items:
                         items.extend(self._decode(raw))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 break
-            after = page.items[-1].key
+            after = page.items[-1].key if page.items else ''
+            if after in seen:
+                return result.Err(
+                    interfaces.StoreError('the same page was read twice')
+                )
+            seen.add(after)
         self._listener.on_snapshot(items)
         self._revision = revision
         self._log.info(
