Let one malformed answer of the store hide nothing else

With one malformed item or event in an answer of the store, for instance without a key, a daemon refused the whole answer, and again at each retry: no server and no configuration reached it any more. A lease with the number 0, which stands for none, was taken as a registration, and a response body without end was stored until the call timed out.

The cause is that answers were decoded as a whole, into types without ranges, and that bodies had no limit.

Items are now decoded one by one, and a malformed one is logged and left out; revisions and leases have a range; a body has 32 MiB at most. The bodies of calls have their own module.

--- a/celeryrelay/platform/http1.py
+++ b/celeryrelay/platform/http1.py
@@ -14,6 +14,8 @@
 from celeryrelay.core import addresses
 
 READ_BYTES = 65536
+# Longer response bodies are an error. A page of the store has about 1 MB.
+MAX_BODY_BYTES = 32 * 1024 * 1024
 # Longest time for a request to the server, from the response before it until its
 # own response is written.
 REQUEST_TIMEOUT_S = 15.0
@@ -118,6 +120,7 @@
         self._writer.write(b''.join(parts))
         status = 0
         received: list[bytes] = []
+        size_bytes = 0
         while True:
             event = await self._next_event()
             match event:
@@ -125,6 +128,9 @@
                     status = event.status_code
                 case h11.Data():
                     received.append(bytes(event.data))
+                    size_bytes += len(event.data)
+                    if size_bytes > MAX_BODY_BYTES:
+                        raise h11.RemoteProtocolError('response body too long')
                 case h11.EndOfMessage():
                     return Response(status, b''.join(received))
                 case h11.ConnectionClosed():
--- a/celeryrelay/platform/store.py
+++ b/celeryrelay/platform/store.py
@@ -6,7 +6,7 @@
 import result
 
 from celeryrelay.gateway import catalog, interfaces
-from celeryrelay.platform import http1, store_items
+from celeryrelay.platform import http1, store_items, store_messages
 
 CALL_TIMEOUT_S = 1.5
 # Time allowed for the response to a watch in addition to its waiting time.
@@ -24,52 +24,7 @@
 Body = typing.TypeVar('Body')
 
 
-class RevisionCondition(msgspec.Struct):
-    """A key and the revision that it must have; 0 if it must not exist."""
-
-    key: str
-    mod_revision: int
-
-
-class Put(msgspec.Struct):
-    """A value to write, under `lease` unless that is 0."""
-
-    key: str
-    value: str
-    lease: int = 0
-
-
-class Transaction(msgspec.Struct):
-    """Writes and deletions that are applied atomically.
-
-    They are applied only if all conditions of `expect_rev` hold.
-    """
-
-    expect_rev: list[RevisionCondition] = []
-    puts: list[Put] = []
-    deletes: list[str] = []
-
-
-class TransactionResult(msgspec.Struct):
-    """Response to a transaction that was applied."""
-
-    mod_revision: int
-
-
-class LeaseResponse(msgspec.Struct):
-    """Response to a lease request: the id and time to live of the lease."""
-
-    lease: int
-    ttl_ms: int
-
-
-class LeaseRequest(msgspec.Struct):
-    """Request for a new lease."""
-
-    ttl_ms: int
-
-
-class Page(msgspec.Struct):
+class Page(typing.NamedTuple):
     """One page of the items in a key range."""
 
     items: list[store_items.RawItem]
@@ -77,7 +32,7 @@
     store_revision: int
 
 
-class Events(msgspec.Struct):
+class Events(typing.NamedTuple):
     """Response to a watch."""
 
     events: list[store_items.RawItem]
@@ -120,7 +75,16 @@
         """Read a page of the store's items, starting after the key `after`."""
         parameters = {'prefix': '', 'after': after} if after else {'prefix': ''}
         target = store_items.request_target('kv-range', **parameters)
-        return await self._call_and_decode(self._watches, 'GET', target, Page)
+        answer = await self._call_and_decode(
+            self._watches, 'GET', target, store_messages.PageResponse
+        )
+        return answer.map(
+            lambda page: Page(
+                store_messages.decode_items(page.items),
+                page.has_more,
+                page.store_revision,
+            )
+        )
 
     async def watch(
         self,
@@ -143,7 +107,12 @@
         match answer:
             case result.Ok(http1.Response(status=status)) if status == _GONE:
                 return result.Ok(HistoryGone(revision))
-        return _decode_response(answer, Events)
+        return _decode_response(answer, store_messages.EventsResponse).map(
+            lambda changed: Events(
+                store_messages.decode_items(changed.events),
+                changed.store_revision,
+            )
+        )
 
     async def register(
         self,
@@ -155,13 +124,13 @@
             self._calls,
             'POST',
             '/celeryrelay/kv-lease',
-            LeaseResponse,
-            LeaseRequest(ttl_ms),
+            store_messages.LeaseResponse,
+            store_messages.LeaseRequest(ttl_ms),
         )
         match lease:
             case result.Err():
                 return lease
-        put = Put(
+        put = store_messages.Put(
             store_items.MEMBER_PREFIX + member.name,
             store_items.encode_value(
                 store_items.RawMember(
@@ -173,7 +142,9 @@
             ),
             lease.ok_value.lease,
         )
-        match await self._run_transaction(Transaction(puts=[put])):
+        match await self._run_transaction(
+            store_messages.Transaction(puts=[put])
+        ):
             case result.Err(problem):
                 return result.Err(problem)
         return result.Ok(lease.ok_value.lease)
@@ -221,7 +192,7 @@
             The revision of the write, None if another write came first.
         """
         key = store_items.office_key(office.group)
-        put = Put(
+        put = store_messages.Put(
             key,
             store_items.encode_value(
                 store_items.RawOffice(
@@ -234,8 +205,10 @@
             ),
         )
         return await self._run_transaction(
-            Transaction(
-                expect_rev=[RevisionCondition(key, known_revision)],
+            store_messages.Transaction(
+                expect_rev=[
+                    store_messages.RevisionCondition(key, known_revision)
+                ],
                 puts=[put],
             ),
         )
@@ -268,14 +241,16 @@
         lease: int,
     ) -> result.Result[None, interfaces.StoreError]:
         """Write a complaint, which ends with the daemon's lease."""
-        put = Put(
+        put = store_messages.Put(
             store_items.complaint_key(complaint),
             store_items.encode_value(
                 store_items.RawComplaint(complaint.server_id),
             ),
             lease,
         )
-        changed = await self._run_transaction(Transaction(puts=[put]))
+        changed = await self._run_transaction(
+            store_messages.Transaction(puts=[put])
+        )
         return changed.map(lambda _: None)
 
     async def delete_complaint(
@@ -284,12 +259,14 @@
     ) -> result.Result[None, interfaces.StoreError]:
         """Delete a complaint."""
         key = store_items.complaint_key(complaint)
-        changed = await self._run_transaction(Transaction(deletes=[key]))
+        changed = await self._run_transaction(
+            store_messages.Transaction(deletes=[key])
+        )
         return changed.map(lambda _: None)
 
     async def _run_transaction(
         self,
-        transaction: Transaction,
+        transaction: store_messages.Transaction,
     ) -> result.Result[int | None, interfaces.StoreError]:
         answer = await self._call(
             self._calls,
@@ -301,7 +278,7 @@
             case result.Ok(http1.Response(status=status)):
                 if status == _PRECONDITION_FAILED:
                     return result.Ok(None)
-        match _decode_response(answer, TransactionResult):
+        match _decode_response(answer, store_messages.TransactionResult):
             case result.Ok(written):
                 return result.Ok(written.mod_revision)
             case result.Err(problem):
--- /dev/null
+++ b/celeryrelay/platform/store_messages.py
@@ -0,0 +1,87 @@
+"""Bodies of the calls to the platform's store."""
+
+import typing
+from collections import abc
+
+import msgspec
+
+from celeryrelay.adapters import json_log
+from celeryrelay.platform import store_items
+
+# Revisions and ids of leases; 0 stands for none.
+_PositiveNumber = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+
+
+class RevisionCondition(msgspec.Struct):
+    """A key and the revision that it must have; 0 if it must not exist."""
+
+    key: str
+    mod_revision: int
+
+
+class Put(msgspec.Struct):
+    """A value to write, under `lease` unless that is 0."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class Transaction(msgspec.Struct):
+    """Writes and deletions that are applied atomically.
+
+    They are applied only if all conditions of `expect_rev` hold.
+    """
+
+    expect_rev: list[RevisionCondition] = []
+    puts: list[Put] = []
+    deletes: list[str] = []
+
+
+class TransactionResult(msgspec.Struct):
+    """Response to a transaction that was applied."""
+
+    mod_revision: _PositiveNumber
+
+
+class LeaseResponse(msgspec.Struct):
+    """Response to a lease request: the id and time to live of the lease."""
+
+    lease: _PositiveNumber
+    ttl_ms: int
+
+
+class LeaseRequest(msgspec.Struct):
+    """Request for a new lease."""
+
+    ttl_ms: int
+
+
+class PageResponse(msgspec.Struct):
+    """One page of the items in a key range, which are undecoded."""
+
+    items: list[msgspec.Raw]
+    has_more: bool
+    store_revision: _PositiveNumber
+
+
+class EventsResponse(msgspec.Struct):
+    """Response to a watch, with undecoded items."""
+
+    events: list[msgspec.Raw]
+    store_revision: _PositiveNumber
+
+
+def decode_items(
+    undecoded: abc.Iterable[msgspec.Raw],
+) -> list[store_items.RawItem]:
+    """Decode items; a malformed one does not hide the others."""
+    decoded: list[store_items.RawItem] = []
+    for raw in undecoded:
+        try:
+            decoded.append(msgspec.json.decode(raw, type=store_items.RawItem))
+        except store_items.DECODE_ERRORS as error:
+            json_log.get('store').warning(
+                'malformed item in the store', problem=str(error)
+            )
+    return decoded
--- a/tests/platform/test_generated_http.py
+++ b/tests/platform/test_generated_http.py
@@ -115,6 +115,31 @@
     asyncio.run(play_to_client(parts))
 
 
+async def test_response_without_end_is_an_error(monkeypatch):
+    """Guards against a body that uses up the daemon's memory."""
+    monkeypatch.setattr(http1, 'MAX_BODY_BYTES', 2**20)
+    sent = 0
+
+    async def respond(reader, writer):
+        nonlocal sent
+        try:
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
+            while sent < 2**25:
+                writer.write(b'x' * 65536)
+                sent += 65536
+                await writer.drain()
+        finally:
+            writer.close()
+
+    listener = await asyncio.start_server(respond, '127.0.0.1', 0)
+    host, port = listener.sockets[0].getsockname()
+    request = http1.make_request('a', 'GET', '/x', b'')
+    connection = http1.ClientConnection(f'{host}:{port}')
+    assert (await connection.call(request, b'', 5)).is_err()
+    assert sent < 2**25
+    listener.close()
+
+
 async def test_pipelined_requests_do_not_hold_up_other_work():
     """Guards against a client whose requests block the event loop."""
     handled = 0
--- a/tests/platform/test_generated_store.py
+++ b/tests/platform/test_generated_store.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 
 from celeryrelay.core import clock as clocks
-from celeryrelay.gateway import application
+from celeryrelay.gateway import application, catalog
 from celeryrelay.platform import http1, store, store_watcher
 from tests.gateway import test_failover
 from tests.platform import test_store_items, virtual_time
@@ -152,6 +152,17 @@
     virtual_time.run(watch(answers, repeats=5000))
 
 
+def test_malformed_event_does_not_hide_the_others():
+    """Guards against one event that keeps a configuration from all daemons."""
+    bad = {**ITEM, 'key': None}
+    snapshot = make_answer(items=[bad, ITEM], has_more=False, store_revision=5)
+    events = make_answer(events=[bad, CONFIGURATION], store_revision=100)
+    answers = [snapshot, *[events] * 50]
+    daemon, _ = virtual_time.run(watch(answers))
+    assert daemon.shared.directory.find_server('i-1') is not None
+    assert daemon.shared.directory.configuration.version == 7
+
+
 def test_incomplete_page_removes_no_item():
     """Guards against servers that are given up since a page was empty."""
     first = make_answer(items=[ITEM], has_more=False, store_revision=5)
@@ -161,3 +172,33 @@
     answers = [first, gone, empty, *[lost] * 500]
     daemon, _ = virtual_time.run(watch(answers))
     assert daemon.shared.directory.find_server('i-1').gone_since is None
+
+
+@SETTINGS
+@hypothesis.given(strategies.lists(ANSWERS, min_size=1, max_size=3))
+def test_other_calls_return_sane_values_or_an_error(answers):
+    async def play():
+        client = store.StoreClient('127.0.0.1:9')
+        member = catalog.Member('front-1', 'z1', 'start', '10.0.0.1:80')
+        for answer in answers:
+            connection = FakeConnection([answer], repeats=9)
+            client._calls = client._renewals = connection
+            registered = await client.register(member, 2000)
+            assert registered.is_err() or registered.ok_value > 0
+            await client.renew(1)
+            await client.release(1)
+            await client.read_office('g1')
+            office = catalog.Office('g1', 'front-1', 'nonce')
+            written = await client.acquire_office(office, 0)
+            assert written.is_err() or written.ok_value != 0
+
+    virtual_time.run(play())
+
+
+@pytest.mark.parametrize('lease', [0, -1, 10**30])
+async def test_invalid_lease_is_an_error(lease):
+    client = store.StoreClient('127.0.0.1:9')
+    body = make_answer(lease=lease, ttl_ms=5, mod_revision=5)
+    client._calls = FakeConnection([body], repeats=2)
+    member = catalog.Member('front-1', 'z1', 'start', '10.0.0.1:80')
+    assert (await client.register(member, 2000)).is_err()
