Refuse store items with integers over 64 bits

With a max_conns of hundreds of digits in the configuration, each statement for that service ended with an OverflowError, and its caller's session was closed without an answer.

The cause is that integers of store items had no range: a larger one can't be computed with as a float, nor sent to other daemons.

Such an item is malformed now: it is logged, and the configuration in force stays.

--- a/celeryrelay/platform/store_items.py
+++ b/celeryrelay/platform/store_items.py
@@ -29,6 +29,9 @@
 
 # Server ids and names of groups are fields of the line protocol.
 _PROTOCOL_WORD = re.compile('[!-~]+')
+# Larger integers can't be computed with as a float, nor sent to other daemons.
+MAX_INTEGER = 2**63 - 1
+_Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
 class RawItem(msgspec.Struct):
@@ -55,7 +58,7 @@
     kind: typing.Literal['primary', 'bounded', 'own']
     timeout_ms: float
     goal_ms: float
-    priority: int
+    priority: _Integer
     max_staleness_ms: float = 0
 
 
@@ -66,8 +69,8 @@
     """
 
     name: str
-    max_conns: int
-    sync_replicas: int = 0
+    max_conns: _Integer
+    sync_replicas: _Integer = 0
 
 
 class RawLimits(msgspec.Struct):
@@ -82,7 +85,7 @@
 class RawConfiguration(msgspec.Struct):
     """The configuration, which the operators write."""
 
-    version: int
+    version: _Integer
     routes: list[RawRoute]
     services: list[RawService]
     limits: RawLimits
@@ -99,8 +102,8 @@
     zone: str
     state: typing.Literal['ready', 'draining']
     db_role: typing.Literal['primary', 'replica']
-    slots: int = 1
-    born: int = 0
+    slots: _Integer = 1
+    born: _Integer = 0
 
 
 class RawMember(msgspec.Struct):
@@ -135,7 +138,7 @@
     nonce: str
     candidates: list[str] = []
     settled: bool = True
-    hold_term: int = 0
+    hold_term: _Integer = 0
 
 
 _READ_CONSISTENCY = {
--- a/celeryrelay/platform/store_messages.py
+++ b/celeryrelay/platform/store_messages.py
@@ -9,7 +9,9 @@
 from celeryrelay.platform import store_items
 
 # Revisions and ids of leases; 0 stands for none.
-_PositiveNumber = typing.Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
+_PositiveNumber = typing.Annotated[
+    int, msgspec.Meta(ge=1, le=store_items.MAX_INTEGER)
+]
 
 
 class RevisionCondition(msgspec.Struct):
