Send refusals whose reason has other letters

A caller whose statement was refused with a reason that Latin-1 can't express, or that holds a line end, got no answer, or two: its session was closed after a UnicodeEncodeError. Reasons come from other daemons too, and no check kept such texts out.

Two new tests failed before the fix, the generated one with the error and the other too. The text is now made one line that can be encoded.

--- a/celeryrelay/platform/line_protocol.py
+++ b/celeryrelay/platform/line_protocol.py
@@ -25,6 +25,7 @@
 # Lines end with CR LF only, but a backend server might also accept one of these
 # bytes as the end of a line and run the rest as a second statement.
 _FORBIDDEN_BYTES = re.compile(rb'[\r\n\0]')
+_CONTROL_CHARACTERS = re.compile('[\0-\x1f]')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,7 +196,8 @@
             code, text = 'TIMEOUT', message
         case outcomes.OutcomeUnknown(reason, message):
             code, text = 'INDOUBT', '{0}: {1}'.format(reason.value, message)
-    return 'ERR {0} {1}\r\n'.format(code, text).encode(ENCODING)
+    words = _CONTROL_CHARACTERS.sub(' ', text)
+    return 'ERR {0} {1}\r\n'.format(code, words).encode(ENCODING, 'replace')
 
 
 def format_ready(state: str, position: positions.Position | None) -> bytes:
--- a/tests/platform/test_generated_callers.py
+++ b/tests/platform/test_generated_callers.py
@@ -9,6 +9,7 @@
 
 from celeryrelay.adapters import connection_guard
 from celeryrelay.core import clock as clocks
+from celeryrelay.core import outcomes
 from celeryrelay.gateway import application, commands
 from celeryrelay.platform import callers, line_protocol
 from tests.gateway import test_failover
@@ -215,3 +216,21 @@
     for number in (*range(256), 0):
         connection.data_received(f'QUERY q SET n{number} 1\r\n'.encode())
     assert b'ERR' not in connection._transport.written
+
+
+@SETTINGS
+@hypothesis.given(
+    strategies.sampled_from(outcomes.Reason),
+    strategies.text(max_size=20) | strategies.just('reset\r\nDONE proof'),
+    strategies.sampled_from([outcomes.NotRun, outcomes.OutcomeUnknown]),
+)
+def test_any_reason_for_a_refusal_is_sent_as_one_line(reason, message, kind):
+    line = line_protocol.format_refusal(kind(reason, message))
+    assert ANSWER_LINE.fullmatch(line.removesuffix(b'\r\n'))
+
+
+def test_reason_of_another_daemon_in_other_letters_is_sent():
+    """Guards against a session that ends without an answer."""
+    refusal = outcomes.NotRun(outcomes.Reason.connections, 'Žilina\r\nDONE x')
+    line = line_protocol.format_refusal(refusal)
+    assert line.count(b'\n') == 1
