Supervise a daemon of a soak from its first start

A daemon that ended before it was ready for the first time was neither reported nor started again: the soak waited 15 s for it and was aborted with a TimeoutError, as its supervision began only once it was ready. The new test failed with that error; it passes now that the supervision begins with the process.

--- a/standins/soak/supervision.py
+++ b/standins/soak/supervision.py
@@ -28,9 +28,10 @@
         self._reset()
 
     async def start(self) -> None:
-        """Start the daemon, wait until it is ready, and supervise it."""
-        await self._daemon.start()
+        """Start the daemon, supervise it, and wait until it is ready."""
+        await self._daemon.spawn()
         self._task = asyncio.create_task(self._run())
+        await self._daemon.wait_until_ready()
 
     def close(self) -> None:
         """End the supervision; the process goes on."""
--- a/tests/soak/test_supervision.py
+++ b/tests/soak/test_supervision.py
@@ -22,10 +22,11 @@
 class Program:
     """A small program in the place of a daemon."""
 
-    def __init__(self, code):
+    def __init__(self, code, ready_start=1):
         self.name = 'front-0'
         self.spawned = 0
         self._code = code
+        self._ready_start = ready_start
 
     async def spawn(self):
         self.spawned += 1
@@ -33,7 +34,12 @@
             sys.executable, '-c', self._code, stdout=asyncio.subprocess.PIPE
         )
 
-    start = spawn
+    async def start(self):
+        await self.spawn()
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self):
+        await wait_for_start(self, self._ready_start)
 
     def last_log_line(self):
         return 'reason'
@@ -45,8 +51,8 @@
     supervisors = []
     programs = []
 
-    async def start(code):
-        programs.append(Program(code))
+    async def start(*arguments):
+        programs.append(Program(*arguments))
         supervisors.append(supervision.Supervisor(programs[-1]))
         await supervisors[-1].start()
         return programs[-1], supervisors[-1]
@@ -72,6 +78,11 @@
     assert supervisor.violations[:2] == [expected, expected]
 
 
+async def test_end_before_the_daemon_was_ever_ready_is_reported(supervise):
+    _, supervisor = await supervise('raise SystemExit(3)', 2)
+    assert 'ended by itself with code 3' in supervisor.violations[0]
+
+
 @pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGTERM])
 async def test_signalled_end_is_restarted_and_not_reported(supervise, number):
     program, supervisor = await supervise('import time; time.sleep(60)')
