--- a/tests/management/test_build.py
+++ b/tests/management/test_build.py
@@ -10,7 +10,7 @@
 DEPLOY = pathlib.Path(__file__).parents[2] / 'deploy'
 PYTHON = """#!/bin/sh
 case "$*" in
-    *pip*) mkdir -p target/deps.new; touch target/deps.new/"$(cat machine)" ;;
+    *pip*) mkdir -p "$6"; sleep 0.1; touch "$6/$(cat machine)" ;;
     *sysconfig*) cat machine ;;
 esac
 """
@@ -26,15 +26,18 @@
     python.write_text(PYTHON)
     python.chmod(0o755)
 
-    def run(machine):
+    def run(machine, processes=1):
         (tmp_path / 'machine').write_text(machine)
         path = '{0}:{1}'.format(python.parent, os.environ['PATH'])
-        subprocess.run(
-            ['sh', DEPLOY / 'build.sh'],
-            check=True,
-            cwd=tmp_path,
-            env={**os.environ, 'PATH': path},
-        )
+        builds = [
+            subprocess.Popen(
+                ['sh', DEPLOY / 'build.sh'],
+                cwd=tmp_path,
+                env={**os.environ, 'PATH': path},
+            )
+            for _ in range(processes)
+        ]
+        assert {one.wait(20) for one in builds} == {0}
         names = os.listdir(tmp_path / 'target' / 'deps')
         return {name for name in names if not name.startswith('.')}
 
@@ -58,3 +61,9 @@
     build('arm64')
     (tmp_path / 'target' / 'deps' / 'kept').touch()
     assert build('arm64') == {'arm64', 'kept'}
+
+
+def test_builds_at_the_same_time_do_not_disturb_each_other(build, tmp_path):
+    """Guards against a folder into which two installations were mixed."""
+    assert build('arm64', processes=4) == {'arm64'}
+    assert os.listdir(tmp_path / 'target') == ['deps']
