Name the invalid field first that the file gives, not one built from it

The internal ports are checked as numbers. Before, an address that was built from them with an invalid ip hid errors of listen.front and platform.addr; two cases of test_invalid_settings_are_rejected_with_the_field failed after the changes of the ports and of the form of hosts.

--- a/celeryrelay/platform/settings_file.py
+++ b/celeryrelay/platform/settings_file.py
@@ -100,10 +100,10 @@
         },
         caller_address=_parse_address(fields, 'listen.front'),
         probe_address=_parse_address(fields, 'listen.ready'),
-        metrics_address=_internal_address(fields, metrics_port),
-        link_address=_internal_address(fields, link_port),
         store_address=_parse_address(fields, 'platform.addr'),
         orders_address=_parse_address(fields, 'cloud.addr'),
+        metrics_address=_internal_address(fields, metrics_port),
+        link_address=_internal_address(fields, link_port),
         capacity=_cpu_capacity(fields),
         connection_limit=_connection_limit(fields),
         deposes_primaries=_parse_flag(fields, 'bounds.fencing'),
@@ -119,12 +119,23 @@
     """Return the ports that are free for the daemon, from first to last."""
     first, _, last = fields['internal_ports'].partition(',')
     ports = [
-        addresses.parse(_internal_address(fields, port)).port
-        for port in (first, last or first)
+        _parse_port('internal_ports', digits)
+        for digits in (first, last or first)
     ]
     return range(min(ports), max(ports) + 1)
 
 
+def _parse_port(name: str, digits: str) -> int:
+    port = _parse_number(name, digits)
+    if not isinstance(port, int) or not 0 < port <= addresses.MAX_PORT:
+        raise ValueError(
+            '{0}: {1!r} is not a port from 1 to {2}'.format(
+                name, digits, addresses.MAX_PORT
+            ),
+        )
+    return port
+
+
 def _select_link_port(internal_ports: range, metrics_port: int) -> int:
     """Return the last internal port that the metrics page doesn't use.
 
--- a/tests/platform/test_generated_items.py
+++ b/tests/platform/test_generated_items.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import strategies
 
+from celeryrelay.adapters import connection_guard
 from celeryrelay.gateway import application, catalog
 from celeryrelay.platform import callers, store_items
 from tests.gateway import test_failover
@@ -126,7 +127,10 @@
 
 async def run_statements(daemon):
     """Run statements of a caller; return what it received."""
-    connection = callers.CallerConnection(daemon.sessions)
+    connection = callers.CallerConnection(
+        daemon.sessions,
+        connection_guard.ConnectionGuard('callers', 8, print),
+    )
     transport = test_generated_callers.FakeTransport()
     connection.connection_made(transport)
     connection.data_received(b'START d1 x\r\n')
