Accept callers only once the port for probes is open

Seen: a daemon that waited for its port for probes accepted callers and held them, though it had not begun and others could serve them. One that waited for its port for callers answered no probe, like one that ended.

Cause: the listener for callers was opened first.

Fix: it is opened after the one for probes, which answers with 503 until then, and before the optional ones, which could take its port.

The second test guards the order towards the metrics page.

--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -114,6 +114,16 @@
         options = self._options
         budget = connection_limits.plan(self._descriptor_limit)
         http_server = http1.HttpServer(self._respond)
+        await opened.add_required(
+            'probes',
+            functools.partial(
+                http_server.listen,
+                options.probe_address,
+                self._guard('probes', budget.page),
+            ),
+        )
+        # Not before the other port that is required, as callers would wait for it.
+        # Not after the optional ones, which could take the port for callers.
         callers_listener = await opened.add_required(
             'callers',
             functools.partial(
@@ -123,14 +133,6 @@
                 self._guard('callers', budget.callers),
             ),
         )
-        await opened.add_required(
-            'probes',
-            functools.partial(
-                http_server.listen,
-                options.probe_address,
-                self._guard('probes', budget.page),
-            ),
-        )
         await opened.add_optional(
             'links',
             functools.partial(
--- a/tests/gateway/test_start_site.py
+++ b/tests/gateway/test_start_site.py
@@ -145,3 +145,33 @@
         async with asyncio.timeout(1):
             assert await daemon.wait_for_exit() == 0
         starting.cancel()
+
+
+@pytest.mark.parametrize('name', ['port', 'probe_port'])
+async def test_daemon_that_waits_for_a_port_takes_no_callers(site, name):
+    """Guards against callers that wait for a daemon that can't start yet."""
+    (daemon,) = site.daemons
+    with occupied(getattr(daemon, name)):
+        starting = asyncio.create_task(daemon.start())
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not (daemon.log_path.exists() and daemon.log()):
+                await asyncio.sleep(POLL_S)
+        assert not await accepts(daemon.port)
+        expected = 503 if name == 'port' else 0
+        assert await daemon.probe() == expected
+    await starting
+
+
+async def test_daemon_whose_metrics_port_is_its_port_for_callers_serves(
+    site, connect
+):
+    """Guards against a daemon that waits for a port that it uses itself."""
+    (daemon,) = site.daemons
+    settings = daemon.settings_path.read_text()
+    daemon.settings_path.write_text(
+        settings.replace(f':{daemon.port}', f':{daemon.metrics_port}')
+    )
+    daemon.port = daemon.metrics_port
+    await daemon.start()
+    client = await connect(daemon, 'bookings')
+    assert (await client.query('WRITE i1 v1')).ok
