Bound the memory that input of all connections takes

Operators whose platform ends a process over its memory limit (200 or 300 MB) could see a daemon killed by what its callers or peers send. The memory of one daemon peaked at 324 MB with 300 callers that sent 1 MB without a line end, at 485 MB with 250 links with unfinished frames, and at 406 MB with 200 sessions that queued 60 writes of 60 kB each.

Cause: each connection was limited, all together were not, and `limits.memory_limit_mb` was not read. The buffer of a closed link stayed until a garbage collection.

The bytes of unfinished messages, statements without an answer and answers that were not sent are added up over all connections (pure, `admission/input_memory`). Above an eighth of the limit the connection that holds most is aborted: it has the least claim, and an abort promises nothing about its statements. Lines after a close are no longer parsed.

The fixture of tests/platform/test_callers.py passes the memory to the guard; its checks are unchanged.

--- a/celeryrelay/adapters/link_codec.py
+++ b/celeryrelay/adapters/link_codec.py
@@ -110,6 +110,10 @@
         """Create a splitter with an empty buffer."""
         self._buffer = bytearray()
 
+    def __len__(self) -> int:
+        """Return the number of bytes of the unfinished frame."""
+        return len(self._buffer)
+
     def feed(self, received: bytes) -> result.Result[list[bytes], str]:
         """Append received bytes and return the bodies completed by them.
 
--- a/celeryrelay/adapters/links.py
+++ b/celeryrelay/adapters/links.py
@@ -57,6 +57,9 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handler that the link has closed."""
+        # The link and its handler refer to each other, so a garbage collection
+        # frees them, and that may be much later.
+        self._splitter = link_codec.FrameSplitter()
         self._mark_closed(
             str(error) if error else 'link closed by the other daemon'
         )
@@ -111,6 +114,12 @@
             self._guard.discard(self._transport)
         super().connection_lost(error)
 
+    def data_received(self, received: bytes) -> None:
+        super().data_received(received)
+        if not self.closed:
+            held = self._transport.get_write_buffer_size()
+            self._guard.hold(self._transport, held + len(self._splitter))
+
     def _handle_frame(self, body: bytes) -> None:
         super()._handle_frame(body)
         if not self.closed:
--- a/celeryrelay/gateway/settings.py
+++ b/celeryrelay/gateway/settings.py
@@ -29,6 +29,7 @@
         capacity: Number of processor cores that the daemon may use.
         connection_limit: Number of connections that the platform lets the
             daemon open, 0 if it sets no limit.
+        memory_limit_mb: Memory in MB beyond which the platform ends the daemon.
         log_level: Lowest level of log lines that are written.
     """
 
@@ -48,6 +49,7 @@
     deposes_primaries: bool = True
     capacity: float = 1
     connection_limit: int = 0
+    memory_limit_mb: float = 200
     log_level: str = 'INFO'
 
     def region(self, availability_zone: str) -> str:
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -84,6 +84,9 @@
         self._opening_task: asyncio.Task | None = None
         self._unhandled: collections.deque[bytes] = collections.deque()
         self._writing_paused = False
+        # Sizes in bytes of the statements without an answer.
+        self._unanswered: collections.deque[int] = collections.deque()
+        self._unanswered_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the TCP options, or refuse a connection beyond the limit."""
@@ -154,6 +157,10 @@
             )
         )
 
+        if self._unanswered:
+            self._unanswered_bytes -= self._unanswered.popleft()
+        self._report_memory()
+
     def close(self) -> None:
         """Close the connection after all written data has been sent."""
         self._phase = _Phase.closed
@@ -164,7 +171,7 @@
         """Handle received lines; leave further ones to the next turn."""
         for _ in range(min(len(self._unhandled), MAX_MESSAGES_PER_TURN)):
             line = self._unhandled.popleft()
-            self._on_message(line_protocol.parse_caller(line))
+            self._on_line(line)
         if self._phase is _Phase.closed:
             self._unhandled.clear()
         elif self._unhandled:
@@ -172,6 +179,7 @@
             asyncio.get_running_loop().call_soon(self._handle_lines)
         else:
             self._resume_reading()
+        self._report_memory()
 
     def _resume_reading(self) -> None:
         is_busy = self._writing_paused or self._unhandled
@@ -179,6 +187,27 @@
             return
         self._transport.resume_reading()
 
+    def _on_line(self, line: bytes) -> None:
+        if self._phase is _Phase.closed:
+            return
+        message = line_protocol.parse_caller(line)
+        if isinstance(message, statements.Request):
+            self._unanswered.append(len(line))
+            self._unanswered_bytes += len(line)
+        self._on_message(message)
+
+    def _report_memory(self) -> None:
+        """Report how much the connection holds in buffers and queues."""
+        if self._transport is None or self._phase is _Phase.closed:
+            return
+        self._guard.hold(
+            self._transport,
+            len(self._splitter)
+            + sum(map(len, self._unhandled))
+            + self._unanswered_bytes
+            + self._transport.get_write_buffer_size(),
+        )
+
     def _on_message(self, message: line_protocol.CallerMessage) -> None:
         match (message, self._phase):
             case (_, _Phase.closed):
--- a/celeryrelay/platform/line_protocol.py
+++ b/celeryrelay/platform/line_protocol.py
@@ -61,6 +61,10 @@
         """Create a splitter with an empty buffer."""
         self._buffer = bytearray()
 
+    def __len__(self) -> int:
+        """Return the number of bytes of the unfinished line."""
+        return len(self._buffer)
+
     def feed(self, received: bytes) -> result.Result[list[bytes], str]:
         """Append received bytes and return the lines completed by them.
 
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -17,7 +17,7 @@
     links,
     listeners,
 )
-from celeryrelay.admission import connection_limits
+from celeryrelay.admission import connection_limits, input_memory
 from celeryrelay.core import addresses
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import application, settings
@@ -49,6 +49,9 @@
         self._descriptor_limit = descriptors.connection_limit(
             options.connection_limit
         )
+        self._input_memory = input_memory.InputMemory(
+            input_memory.limit_bytes(options.memory_limit_mb)
+        )
         self._stop = asyncio.Event()
         self._store = stores.StoreClient(options.store_address)
         self._application = application.Application(
@@ -154,7 +157,9 @@
 
     def _guard(self, name: str, limit: int) -> connection_guard.ConnectionGuard:
         count_event = self._application.shared.metrics.event
-        return connection_guard.ConnectionGuard(name, limit, count_event)
+        return connection_guard.ConnectionGuard(
+            name, limit, self._input_memory, count_event
+        )
 
     def _render_metrics(self) -> bytes:
         metrics = self._application.shared.metrics
--- a/celeryrelay/platform/settings_file.py
+++ b/celeryrelay/platform/settings_file.py
@@ -27,6 +27,7 @@
 # Longer times and larger limits are taken for mistakes.
 MAX_NUMBER = 1e9
 _POSITIVE_FIELDS = frozenset(('limits.cpu_share', 'limits.cores'))
+MEMORY_LIMIT_MB = 200
 # Descriptors of `limits.max_fds` that are not available for connections.
 RESERVED_DESCRIPTORS = 200
 _REGION_FIELD_PREFIX = 'zones.'
@@ -106,6 +107,10 @@
         link_address=_internal_address(fields, link_port),
         capacity=_cpu_capacity(fields),
         connection_limit=_connection_limit(fields),
+        memory_limit_mb=_parse_number(
+            'limits.memory_limit_mb',
+            fields.get('limits.memory_limit_mb') or MEMORY_LIMIT_MB,
+        ),
         deposes_primaries=_parse_flag(fields, 'bounds.fencing'),
         stop_grace_s=_parse_number(
             'bounds.grace_s', fields.get('bounds.grace_s') or STOP_GRACE_S
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from celeryrelay.adapters import connection_guard
+from celeryrelay.admission import input_memory
 from celeryrelay.core import clock as clocks
 from celeryrelay.gateway import application, catalog, session_registry
 from celeryrelay.platform import callers
@@ -27,7 +28,10 @@
 
 @pytest.fixture
 async def client(daemon):
-    guard = connection_guard.ConnectionGuard('callers', 8, lambda kind: None)
+    memory = input_memory.InputMemory(1 << 20)
+    guard = connection_guard.ConnectionGuard(
+        'callers', 8, memory, lambda kind: None
+    )
     listener = await callers.listen(daemon.sessions, '127.0.0.1:0', guard)
     _, port = listener.sockets[0].getsockname()
     connected = clients.Client(port)
--- a/tests/platform/test_generated_callers.py
+++ b/tests/platform/test_generated_callers.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from celeryrelay.adapters import connection_guard
+from celeryrelay.admission import input_memory
 from celeryrelay.core import clock as clocks
 from celeryrelay.core import outcomes
 from celeryrelay.gateway import application, commands
@@ -61,6 +62,9 @@
     def is_closing(self):
         return self.closed
 
+    def get_write_buffer_size(self):
+        return 0
+
     def close(self):
         self.closed = True
 
@@ -88,7 +92,9 @@
         executor.run = run
     connection = callers.CallerConnection(
         daemon.sessions,
-        connection_guard.ConnectionGuard('callers', 8, print),
+        connection_guard.ConnectionGuard(
+            'callers', 8, input_memory.InputMemory(1 << 24), print
+        ),
     )
     connection.connection_made(FakeTransport())
     return connection
@@ -197,7 +203,9 @@
     )
     connection = callers.CallerConnection(
         daemon.sessions,
-        connection_guard.ConnectionGuard('callers', 8, print),
+        connection_guard.ConnectionGuard(
+            'callers', 8, input_memory.InputMemory(1 << 24), print
+        ),
     )
     connection.connection_made(FakeTransport())
     connection.data_received(b'START d1 x\r\n')
--- a/tests/platform/test_generated_http.py
+++ b/tests/platform/test_generated_http.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from celeryrelay.adapters import connection_guard
+from celeryrelay.admission import input_memory
 from celeryrelay.platform import http1
 
 SETTINGS = hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
@@ -44,7 +45,9 @@
         self._server = http1.HttpServer(handler)
 
     async def __aenter__(self):
-        guard = connection_guard.ConnectionGuard('probes', 100, print)
+        guard = connection_guard.ConnectionGuard(
+            'probes', 100, input_memory.InputMemory(1 << 24), print
+        )
         self._listener = await self._server.listen('127.0.0.1:0', guard)
         host, port = self._listener.sockets[0].getsockname()
         self.address = f'{host}:{port}'
--- a/tests/platform/test_generated_items.py
+++ b/tests/platform/test_generated_items.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from celeryrelay.adapters import connection_guard
+from celeryrelay.admission import input_memory
 from celeryrelay.gateway import application, catalog
 from celeryrelay.platform import callers, store_items
 from tests.gateway import test_failover
@@ -129,7 +130,9 @@
     """Run statements of a caller; return what it received."""
     connection = callers.CallerConnection(
         daemon.sessions,
-        connection_guard.ConnectionGuard('callers', 8, print),
+        connection_guard.ConnectionGuard(
+            'callers', 8, input_memory.InputMemory(1 << 24), print
+        ),
     )
     transport = test_generated_callers.FakeTransport()
     connection.connection_made(transport)
