Exit with 0 when signals repeat at the end of a stop

Operators who repeat SIGTERM, SIGINT or SIGHUP saw a daemon that had stopped gracefully (`daemon stopped` in its log) end with -15 or -2, as if it had failed.

Cause: the end of the event loop restores the default actions, so a signal ends the process while the interpreter exits.

The signals are blocked once the stop is complete, in one call, so there is no moment without a handler.

--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -35,6 +35,8 @@
 
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_HANDLED_SIGNALS = (*_STOP_SIGNALS, signal.SIGHUP)
 _PLAIN_TEXT = 'text/plain'
 
 
@@ -71,7 +73,7 @@
         On SIGHUP the settings file is read again and changes are logged.
         """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in _STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_changed_settings)
         opened = listeners.ListenerSet()
@@ -95,6 +97,9 @@
         await self._application.stop(callers_listener.close)
         settings_task.cancel()
         opened.close()
+        # The end of the event loop restores the default actions, which would
+        # replace the exit code.
+        signal.pthread_sigmask(signal.SIG_BLOCK, _HANDLED_SIGNALS)
 
     async def _listen_unless_stopped(
         self, opened: listeners.ListenerSet
--- a/tests/gateway/test_start_site.py
+++ b/tests/gateway/test_start_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import signal
 import socket
@@ -14,6 +15,9 @@
 LONG_HOLD_S = 12
 
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
 @pytest.fixture
 async def site(start_site):
     """A site without daemons and the settings of one."""
@@ -175,3 +179,18 @@
     await daemon.start()
     client = await connect(daemon, 'bookings')
     assert (await client.query('WRITE i1 v1')).ok
+
+
+async def test_signals_in_series_leave_a_stop_graceful(site):
+    """Guards against an exit by a signal after a graceful stop."""
+    (daemon,) = site.daemons
+    await daemon.start()
+    descriptor = os.pidfd_open(daemon.process.pid)
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while daemon.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                for number in STOP_SIGNALS:
+                    signal.pidfd_send_signal(descriptor, number)
+            await asyncio.sleep(POLL_S)
+    os.close(descriptor)
+    assert daemon.process.returncode == 0
