--- a/celeryrelay/platform/settings_file.py
+++ b/celeryrelay/platform/settings_file.py
@@ -107,9 +107,8 @@
         link_address=_internal_address(fields, link_port),
         capacity=_cpu_capacity(fields),
         connection_limit=_connection_limit(fields),
-        memory_limit_mb=_parse_number(
-            'limits.memory_limit_mb',
-            fields.get('limits.memory_limit_mb') or MEMORY_LIMIT_MB,
+        memory_limit_mb=_parse_limit(
+            fields, 'limits.memory_limit_mb', MEMORY_LIMIT_MB
         ),
         deposes_primaries=_parse_flag(fields, 'bounds.fencing'),
         stop_grace_s=_parse_number(
@@ -178,11 +177,22 @@
 
 
 def _connection_limit(fields: dict[str, str]) -> int:
-    given = fields.get('limits.max_fds')
-    if not given:
-        return 0
-    descriptors = int(_parse_number('limits.max_fds', given))
-    return max(descriptors - RESERVED_DESCRIPTORS, 1)
+    descriptors = int(_parse_limit(fields, 'limits.max_fds', 0))
+    return max(descriptors - RESERVED_DESCRIPTORS, 1) if descriptors else 0
+
+
+def _parse_limit(fields: dict[str, str], name: str, default: float) -> float:
+    """Return a limit of the platform, the default for no usable number.
+
+    A daemon that obeys another limit than it has to still serves; one that does
+    not start over it doesn't. 0, `unlimited` and very large numbers say that
+    there is no limit.
+    """
+    try:
+        limit = float(fields.get(name) or default)
+    except ValueError:
+        return default
+    return limit if 0 < limit <= MAX_NUMBER else default
 
 
 def _parse_address(fields: dict[str, str], name: str) -> str:
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -98,7 +98,23 @@
     assert 'internal_ports' in loaded.err_value
 
 
-@pytest.mark.parametrize(('given', 'limit'), [('4300', 4100), ('', 0)])
+@pytest.mark.parametrize(
+    ('given', 'limit'),
+    [
+        ('4300', 4100),
+        *((unlimited, 0) for unlimited in ('', '0', '-1', 'unlimited', 'nan')),
+        ('1073741816', 0),
+    ],
+)
 def test_descriptor_limit_excludes_those_for_files(tmp_path, given, limit):
     loaded = load(tmp_path, **{'limits.max_fds': given}).ok_value
     assert loaded.connection_limit == limit
+
+
+@pytest.mark.parametrize('given', ['', '0', '-1', 'unlimited', 'inf'])
+def test_memory_limit_that_is_no_number_does_not_stop_the_start(
+    tmp_path, given
+):
+    """Guards against a daemon that does not start, or aborts its callers."""
+    loaded = load(tmp_path, **{'limits.memory_limit_mb': given}).ok_value
+    assert loaded.memory_limit_mb == settings_file.MEMORY_LIMIT_MB
