Keep reserved descriptors from refused callers; let no start wait for standard error

Refused callers that say nothing stayed open for 0.5 s each, without a limit: with 172 places full and 500 reconnecting callers, 101 of 193 sockets of the daemon's own could not be opened. At eight of them no further connection is accepted, and each stays 0.1 s at most. A failed start wrote its message to a standard error that nobody reads, and did not end (alive after 6 s); it is written without waiting. An error while later statements of a caller are handled closes its connection. The watch of the settings file is supervised.

--- a/celeryrelay/adapters/acceptor.py
+++ b/celeryrelay/adapters/acceptor.py
@@ -15,6 +15,7 @@
 # Connections that are accepted before others are served.
 ACCEPTS_PER_TURN = 16
 FAILURE_PAUSE_S = 0.1
+CROWDED_PAUSE_S = 0.01
 # Least time between two lines in the log.
 LOG_INTERVAL_S = 1.0
 
@@ -28,11 +29,24 @@
         sockets: The listening socket, which is closed by `close`.
     """
 
-    def __init__(self, sock: socket.socket, factory: ProtocolFactory) -> None:
-        """Accept connections of `sock` for the protocols of `factory`."""
+    def __init__(
+        self,
+        sock: socket.socket,
+        factory: ProtocolFactory,
+        is_crowded: abc.Callable[[], bool],
+    ) -> None:
+        """Accept connections of `sock` for the protocols of `factory`.
+
+        Args:
+            sock: The listening socket.
+            factory: Creates the protocol of a connection.
+            is_crowded: Returns whether connections have to wait in the backlog
+                of the kernel.
+        """
         self.sockets = (sock,)
         self._sock = sock
         self._factory = factory
+        self._is_crowded = is_crowded
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
         self._logged_at = -LOG_INTERVAL_S
@@ -54,23 +68,29 @@
             self._loop.add_reader(self._sock, self._accept_some)
 
     def _accept_some(self) -> None:
+        if self._is_crowded():
+            self._pause(CROWDED_PAUSE_S)
+            return
         for _ in range(ACCEPTS_PER_TURN):
             try:
                 connection, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                self._pause(error)
+                self._pause(FAILURE_PAUSE_S)
+                self._log_failure(error)
                 return
             connection.setblocking(False)
             task = self._loop.create_task(self._connect(connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _pause(self, error: OSError) -> None:
+    def _pause(self, duration_s: float) -> None:
         """Leave connections in the backlog of the kernel for a moment."""
         self._loop.remove_reader(self._sock)
-        self._loop.call_later(FAILURE_PAUSE_S, self._resume)
+        self._loop.call_later(duration_s, self._resume)
+
+    def _log_failure(self, error: OSError) -> None:
         now = self._loop.time()
         if now - self._logged_at >= LOG_INTERVAL_S:
             self._logged_at = now
@@ -89,12 +109,25 @@
             self._log.info('connection ended at once', problem=str(error))
 
 
-async def listen(factory: ProtocolFactory, address: str) -> Acceptor:
+def _never() -> bool:
+    return False
+
+
+async def listen(
+    factory: ProtocolFactory,
+    address: str,
+    is_crowded: abc.Callable[[], bool] = _never,
+) -> Acceptor:
     """Listen on `address` (`host:port`).
 
+    Args:
+        factory: Creates the protocol of a connection.
+        address: Where to listen.
+        is_crowded: Returns whether connections have to wait for others.
+
     Raises:
         OSError: The address can't be bound.
     """
     sock = socket.create_server(addresses.parse(address), backlog=BACKLOG)
     sock.setblocking(False)
-    return Acceptor(sock, factory)
+    return Acceptor(sock, factory, is_crowded)
--- a/celeryrelay/adapters/connection_guard.py
+++ b/celeryrelay/adapters/connection_guard.py
@@ -58,6 +58,15 @@
                     self._close_silent(displaced)
         return True
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether enough refused connections are still open."""
+        return self._connections.is_crowded
+
+    def linger(self, transport: asyncio.BaseTransport) -> None:
+        """Record that a refused connection stays open for its refusal."""
+        self._connections.linger(transport)
+
     def touch(self, transport: asyncio.BaseTransport) -> None:
         """Record a message after which more are awaited."""
         now = asyncio.get_running_loop().time()
--- a/celeryrelay/admission/connection_limits.py
+++ b/celeryrelay/admission/connection_limits.py
@@ -16,6 +16,9 @@
 # for each page (health checks, metrics).
 LINKS_FRACTION = 0.25
 PAGE_FRACTION = 0.125
+# Refused connections that stay open until their refusal was read, at which no
+# further connection is accepted.
+MAX_REFUSED_OPEN = 8
 # Time without a message after which a connection is closed.
 SILENCE_TIMEOUT_S = 10.0
 # The same while another connection needs its place.
@@ -79,6 +82,7 @@
         self._kept: set[abc.Hashable] = set()
         # Silent connections with the time of their last message, oldest first.
         self._silent: dict[abc.Hashable, float] = {}
+        self._refused: set[abc.Hashable] = set()
 
     def __len__(self) -> int:
         """Return the number of admitted connections."""
@@ -100,6 +104,15 @@
         self._silent[connection] = now
         return Admitted(displaced)
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether enough refused connections are still open."""
+        return len(self._refused) >= MAX_REFUSED_OPEN
+
+    def linger(self, connection: abc.Hashable) -> None:
+        """Record that a refused connection stays open for its refusal."""
+        self._refused.add(connection)
+
     def touch(self, connection: abc.Hashable, now: float) -> None:
         """Record a message after which the connection is silent again."""
         if self._silent.pop(connection, None) is not None:
@@ -114,6 +127,7 @@
         """Remove a connection that was closed."""
         self._kept.discard(connection)
         self._silent.pop(connection, None)
+        self._refused.discard(connection)
 
     def expired(
         self,
--- a/celeryrelay/management/commands/gateway.py
+++ b/celeryrelay/management/commands/gateway.py
@@ -12,6 +12,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import asyncio
+import contextlib
 import sys
 import time
 import typing
@@ -19,7 +20,7 @@
 import result
 from absl import app, flags
 
-from celeryrelay.adapters import diagnostics, json_log
+from celeryrelay.adapters import diagnostics, json_log, shared_output
 from celeryrelay.gateway import settings
 from celeryrelay.platform import process, settings_file
 
@@ -93,7 +94,9 @@
     """Report why the daemon can't start, and return the exit code."""
     json_log.get('daemon').critical('daemon not started', problem=problem)
     if sys.stderr is not None:
-        sys.stderr.write('{0}\n'.format(problem))
+        with contextlib.suppress(OSError):
+            write = shared_output.open_writer(sys.stderr.fileno())
+            write('{0}\n'.format(problem).encode())
     return EXIT_START_FAILED
 
 
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -25,7 +25,7 @@
 MAX_PENDING_MESSAGES = 64
 MAX_PENDING_BYTES = 2 * line_protocol.MAX_MESSAGE_BYTES
 # Longest wait for the first message of a connection that was refused.
-REFUSED_LINGER_S = 0.5
+REFUSED_LINGER_S = 0.1
 # Messages of one caller that are handled before other tasks run.
 MAX_MESSAGES_PER_TURN = 64
 
@@ -176,11 +176,19 @@
             self._unhandled.clear()
         elif self._unhandled:
             self._transport.pause_reading()
-            asyncio.get_running_loop().call_soon(self._handle_lines)
+            asyncio.get_running_loop().call_soon(self._handle_next_lines)
         else:
             self._resume_reading()
         self._report_memory()
 
+    def _handle_next_lines(self) -> None:
+        try:
+            self._handle_lines()
+        except Exception:
+            # Otherwise the caller would wait for answers to further lines.
+            self._transport.abort()
+            raise
+
     def _resume_reading(self) -> None:
         is_busy = self._writing_paused or self._unhandled
         if self._transport is None or self._phase is _Phase.closed or is_busy:
@@ -266,6 +274,7 @@
         receive the refusal.
         """
         self._phase = _Phase.refused
+        self._guard.linger(transport)
         self._write(line_protocol.format_refusal(_too_many_connections()))
         loop = asyncio.get_running_loop()
         loop.call_later(REFUSED_LINGER_S, transport.abort)
@@ -298,5 +307,7 @@
 ) -> acceptor.Acceptor:
     """Listen for callers on `address` (`host:port`)."""
     return await acceptor.listen(
-        lambda: CallerConnection(opener, guard), address
+        lambda: CallerConnection(opener, guard),
+        address,
+        lambda: guard.is_crowded,
     )
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -16,6 +16,7 @@
     json_log,
     links,
     listeners,
+    supervision,
 )
 from celeryrelay.admission import connection_limits, input_memory
 from celeryrelay.core import addresses
@@ -89,7 +90,9 @@
             ),
         )
         self._application.start(watcher.run)
-        settings_task = asyncio.create_task(self._watch_settings_file())
+        settings_task = asyncio.create_task(
+            supervision.run_forever('settings file', self._watch_settings_file)
+        )
         # Imported modules live until the process ends, so garbage collections
         # need not traverse their objects.
         gc.freeze()
--- a/tests/admission/test_connection_limits.py
+++ b/tests/admission/test_connection_limits.py
@@ -39,3 +39,14 @@
     limit.discard('silent')
     limit.keep('silent')
     assert len(limit) == 2
+
+
+def test_refused_connections_that_stay_open_hold_further_ones_off():
+    """Guards against refused callers that take reserved descriptors."""
+    limit = connection_limits.ConnectionLimit(1)
+    for number in range(connection_limits.MAX_REFUSED_OPEN):
+        assert not limit.is_crowded
+        limit.linger(number)
+    assert limit.is_crowded
+    limit.discard(0)
+    assert not limit.is_crowded
