--- a/celeryrelay/daemon/callers/delivery.py
+++ b/celeryrelay/daemon/callers/delivery.py
@@ -7,7 +7,7 @@
 from celeryrelay.admission import retry_budget
 from celeryrelay.conf import sets, settings
 from celeryrelay.core import clock, outcomes, peer_messages
-from celeryrelay.daemon.callers import forwarding, refusals
+from celeryrelay.daemon.callers import caller_statement, forwarding, refusals
 from celeryrelay.daemon.exchange import fleet_state
 from celeryrelay.routing import statement_kinds
 
@@ -26,68 +26,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class Statement:
-    """One statement of a caller, with its route and deadline.
-
-    Attributes:
-        request: Request id that all messages and events carry.
-        caller_request: Idempotency id given by the caller, '' without one.
-        objects: Object set active at arrival, used until the statement ends.
-        started_at: Monotonic arrival time in seconds.
-        deadline: Monotonic time in seconds.
-        held_ms: Time spent waiting for a new primary.
-        answered: Whether the caller has received a part of the answer.
-    """
-
-    request: str
-    sql: str
-    kind: statement_kinds.Kind
-    caller_request: str
-    objects: sets.ObjectSet
-    route: sets.Route
-    started_at: float
-    deadline: float
-    held_ms: float = 0
-    answered: bool = False
-
-    @property
-    def group(self) -> sets.DatabaseGroup:
-        """Return the database group of the route."""
-        return self.objects.groups[self.route.group]
-
-    @property
-    def rank(self) -> sets.RankPolicy:
-        """Return the policy of the route's rank."""
-        return self.objects.ranks[self.route.rank]
-
-    @property
-    def is_read(self) -> bool:
-        """Return whether the statement can't change data."""
-        return self.kind is statement_kinds.Kind.read
-
-    @property
-    def needs_request_row(self) -> bool:
-        """Return whether the write is stored together with a request id."""
-        return self.kind is statement_kinds.Kind.write and bool(
-            self.caller_request
-        )
-
-    def message(self) -> peer_messages.StatementRequest:
-        """Return the request to a holder, without its slot and time budget."""
-        return peer_messages.StatementRequest(
-            request=self.request,
-            group=self.group.name,
-            slot='',
-            sql=self.sql,
-            rank=self.route.rank,
-            budget_ms=0,
-            write=not self.is_read,
-            durability=self.route.durability or self.rank.durability,
-            caller_request=self.caller_request,
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenTransaction:
     """A transaction that is open at a holder."""
@@ -162,7 +100,7 @@
 
     async def run_read(
         self,
-        statement: Statement,
+        statement: caller_statement.Statement,
         request: peer_messages.StatementRequest,
         renew: RenewRequest,
     ) -> AnswerParts:
@@ -193,7 +131,7 @@
 
     async def run_on_primary(
         self,
-        statement: Statement,
+        statement: caller_statement.Statement,
         request: peer_messages.StatementRequest,
         renew: RenewRequest | None = None,
     ) -> AnswerParts:
@@ -218,7 +156,9 @@
             request = renewed
 
     async def _run_on_known_primary(
-        self, statement: Statement, request: peer_messages.StatementRequest
+        self,
+        statement: caller_statement.Statement,
+        request: peer_messages.StatementRequest,
     ) -> AnswerParts:
         name = self._services.fleet.primary(statement.group.name)
         slot = statement.group.slot(name) if name else None
@@ -230,7 +170,7 @@
 
     async def run_on_slot(
         self,
-        statement: Statement,
+        statement: caller_statement.Statement,
         request: peer_messages.StatementRequest,
         slot: sets.Slot,
     ) -> AnswerParts:
@@ -252,7 +192,9 @@
         yield refusal
 
     async def run_in_transaction(
-        self, statement: Statement, transaction: OpenTransaction
+        self,
+        statement: caller_statement.Statement,
+        transaction: OpenTransaction,
     ) -> AnswerParts:
         """Run a statement in its open transaction."""
         request = dataclasses.replace(
@@ -299,7 +241,9 @@
             )
         )
 
-    async def wait_for_change(self, statement: Statement) -> bool:
+    async def wait_for_change(
+        self, statement: caller_statement.Statement
+    ) -> bool:
         """Wait for a change of the fleet state.
 
         Returns False once the failover hold time or the deadline has passed.
@@ -317,7 +261,7 @@
 
     async def _run_on_holder(
         self,
-        statement: Statement,
+        statement: caller_statement.Statement,
         target: forwarding.SlotRequest,
         instance: str,
     ) -> AnswerParts:
@@ -336,7 +280,7 @@
 
     async def _send(
         self,
-        statement: Statement,
+        statement: caller_statement.Statement,
         target: forwarding.SlotRequest,
         instance: str,
     ) -> abc.AsyncGenerator[
--- a/celeryrelay/daemon/callers/preparation.py
+++ b/celeryrelay/daemon/callers/preparation.py
@@ -9,7 +9,7 @@
 
 from celeryrelay.conf import sets
 from celeryrelay.core import clock, outcomes
-from celeryrelay.daemon.callers import delivery, refusals
+from celeryrelay.daemon.callers import caller_statement, refusals
 from celeryrelay.daemon.exchange import fleet_state
 from celeryrelay.routing import classification, routes, statement_kinds
 
@@ -73,7 +73,7 @@
         found: statement_kinds.Classification,
         login: Login,
         attributes: abc.Mapping[str, str],
-    ) -> delivery.Statement | outcomes.NotRun:
+    ) -> caller_statement.Statement | outcomes.NotRun:
         """Return the statement with its route and deadline, or a refusal."""
         objects = self._fleet.objects
         if objects is None:
@@ -100,11 +100,11 @@
         found: statement_kinds.Classification,
         caller_request: str,
         objects_and_route: tuple[sets.ObjectSet, sets.Route],
-    ) -> delivery.Statement:
+    ) -> caller_statement.Statement:
         objects, route = objects_and_route
         now = self._clock.monotonic()
         deadline_ms = objects.ranks[route.rank].deadline_ms
-        return delivery.Statement(
+        return caller_statement.Statement(
             request=self.next_request(),
             sql=sql,
             kind=found.kind,
--- a/celeryrelay/daemon/callers/session.py
+++ b/celeryrelay/daemon/callers/session.py
@@ -11,6 +11,7 @@
 from celeryrelay.core import outcomes, peer_messages, positions
 from celeryrelay.daemon.account import outcome_recorder
 from celeryrelay.daemon.callers import (
+    caller_statement,
     delivery,
     preparation,
     read_bounds,
@@ -107,7 +108,9 @@
             yield part
 
     async def _run_with_token(
-        self, statement: delivery.Statement, attributes: abc.Mapping[str, str]
+        self,
+        statement: caller_statement.Statement,
+        attributes: abc.Mapping[str, str],
     ) -> AnswerParts:
         token = attributes.get(preparation.TOKEN_ATTRIBUTE)
         refusal = self._apply_token(token, statement.group.name)
@@ -122,7 +125,7 @@
 
     def _record_refusal(
         self,
-        statement: delivery.Statement | outcomes.NotRun,
+        statement: caller_statement.Statement | outcomes.NotRun,
         refusal: outcomes.NotRun,
     ) -> outcomes.Outcome:
         """Record a refusal by this entry, if the route is known."""
@@ -230,7 +233,9 @@
         yield peer_messages.RowBatch(((token,),))
         yield self._done()
 
-    async def _run_recorded(self, statement: delivery.Statement) -> AnswerParts:
+    async def _run_recorded(
+        self, statement: caller_statement.Statement
+    ) -> AnswerParts:
         """Run a statement and record its final outcome exactly once."""
         last: outcomes.Outcome = refusals.connection_lost(
             'the caller disconnected before the answer'
@@ -255,7 +260,7 @@
             )
 
     def _finish(
-        self, statement: delivery.Statement, outcome: outcomes.Outcome
+        self, statement: caller_statement.Statement, outcome: outcomes.Outcome
     ) -> outcomes.Outcome:
         if not isinstance(outcome, outcomes.Done):
             return outcome
@@ -272,7 +277,9 @@
         self._bounded_groups.add(position.group)
         self._bounds.advance(position)
 
-    async def _run_routed(self, statement: delivery.Statement) -> AnswerParts:
+    async def _run_routed(
+        self, statement: caller_statement.Statement
+    ) -> AnswerParts:
         starts = self._begin_pending or not self._autocommit
         in_transaction = starts or self._transaction is not None
         if in_transaction and statement.needs_request_row:
@@ -294,7 +301,7 @@
             yield part
 
     async def _open_transaction(
-        self, statement: delivery.Statement
+        self, statement: caller_statement.Statement
     ) -> outcomes.Outcome | None:
         message = dataclasses.replace(
             statement.message(),
@@ -315,7 +322,7 @@
 
     async def _run_in_transaction(
         self,
-        statement: delivery.Statement,
+        statement: caller_statement.Statement,
         transaction: delivery.OpenTransaction,
     ) -> AnswerParts:
         parts = self._deliverer.run_in_transaction(statement, transaction)
@@ -326,7 +333,9 @@
                 self._transaction = None
             yield part
 
-    async def _run_read(self, statement: delivery.Statement) -> AnswerParts:
+    async def _run_read(
+        self, statement: caller_statement.Statement
+    ) -> AnswerParts:
         bound = await self._read_bound(statement)
         if not isinstance(bound, peer_messages.ReadBound):
             yield bound
@@ -360,7 +369,7 @@
                 return request
 
     async def _read_bound(
-        self, statement: delivery.Statement
+        self, statement: caller_statement.Statement
     ) -> peer_messages.ReadBound | outcomes.Outcome:
         """Return the lowest position that a read of this session must see."""
         group = statement.group.name
@@ -379,7 +388,7 @@
                 return refusals.unknown_primary()
 
     async def _fetch_primary_position(
-        self, statement: delivery.Statement
+        self, statement: caller_statement.Statement
     ) -> outcomes.Outcome:
         """Set the bound of a session without a token to the primary's position.
 
--- a/tests/daemon/test_delivery.py
+++ b/tests/daemon/test_delivery.py
@@ -16,7 +16,7 @@
 from celeryrelay.conf import sets
 from celeryrelay.conf import settings as daemon_settings
 from celeryrelay.core import clock, identity, outcomes, peer_messages, ranks
-from celeryrelay.daemon.callers import delivery
+from celeryrelay.daemon.callers import caller_statement, delivery
 from celeryrelay.daemon.exchange import fleet_state
 from celeryrelay.routing import statement_kinds
 from celeryrelay.terms import term_records
@@ -131,7 +131,7 @@
 
 
 def make_statement(kind):
-    return delivery.Statement(
+    return caller_statement.Statement(
         request='request-1',
         sql='statement',
         kind=kind,
