--- a/celeryrelay/daemon/callers/session.py
+++ b/celeryrelay/daemon/callers/session.py
@@ -7,18 +7,17 @@
 import result
 
 from celeryrelay.adapters import caller_connection
-from celeryrelay.conf import sets
-from celeryrelay.core import outcomes, peer_messages, positions
+from celeryrelay.core import outcomes, peer_messages
 from celeryrelay.daemon.account import outcome_recorder
 from celeryrelay.daemon.callers import (
     caller_statement,
     delivery,
     preparation,
-    read_bounds,
     refusals,
+    session_bounds,
 )
 from celeryrelay.routing import statement_kinds
-from celeryrelay.sessions import bounds, tokens
+from celeryrelay.sessions import tokens
 
 TEXT_TYPE = 253
 # Client libraries set the character set at connect time. A setting that matches
@@ -55,8 +54,9 @@
         self._autocommit = True
         self._begin_pending = False
         self._transaction: delivery.OpenTransaction | None = None
-        self._bounds = bounds.SessionBounds()
-        self._bounded_groups: set[str] = set()
+        self._read_bounds = session_bounds.SessionReadBounds(
+            self._deliverer, self._fleet
+        )
         self._pending_token = ''
 
     @property
@@ -215,8 +215,7 @@
             return None
         match self._services.signer.verify(token, group):
             case result.Ok(position):
-                self._bounded_groups.add(group)
-                self._bounds.advance(position)
+                self._read_bounds.advance(position)
                 return None
             case result.Err(error):
                 return refusals.bad_token(error)
@@ -224,7 +223,7 @@
     def _token_rows(
         self, group: str
     ) -> abc.Iterator[caller_connection.AnswerPart]:
-        position = self._bounds.bound(group)
+        position = self._read_bounds.position(group)
         token = self._services.signer.sign(position) if position else ''
         column = peer_messages.ColumnHeader(
             '@@celeryrelay_token', TEXT_TYPE, binary=False
@@ -265,7 +264,7 @@
         if not isinstance(outcome, outcomes.Done):
             return outcome
         if outcome.position is not None:
-            self._advance_bound(outcome.position)
+            self._read_bounds.advance(outcome.position)
         if statement.held_ms < 1:
             return outcome
         hold = outcomes.Delay(
@@ -273,10 +272,6 @@
         )
         return dataclasses.replace(outcome, delays=(*outcome.delays, hold))
 
-    def _advance_bound(self, position: positions.Position) -> None:
-        self._bounded_groups.add(position.group)
-        self._bounds.advance(position)
-
     async def _run_routed(
         self, statement: caller_statement.Statement
     ) -> AnswerParts:
@@ -336,7 +331,7 @@
     async def _run_read(
         self, statement: caller_statement.Statement
     ) -> AnswerParts:
-        bound = await self._read_bound(statement)
+        bound = await self._read_bounds.read(statement)
         if not isinstance(bound, peer_messages.ReadBound):
             yield bound
             return
@@ -350,75 +345,12 @@
             read_wait_ms=options.read_wait_ms,
             max_age_ms=rule.max_age_ms if rule else None,
         )
-        parts = self._deliverer.run_read(statement, message, self._renew_bound)
+        parts = self._deliverer.run_read(
+            statement, message, self._read_bounds.renew
+        )
         async for part in parts:
             yield part
 
-    def _renew_bound(
-        self, request: peer_messages.StatementRequest
-    ) -> peer_messages.StatementRequest | outcomes.NotRun:
-        """Return a read request with the read bound in the current term."""
-        position = self._bounds.bound(request.group)
-        record = self._fleet.record(request.group)
-        match read_bounds.current_bound(position, record):
-            case peer_messages.ReadBound() as bound:
-                return dataclasses.replace(request, bound=bound)
-            case outcomes.NotRun() as refusal:
-                return refusal
-            case _:
-                return request
-
-    async def _read_bound(
-        self, statement: caller_statement.Statement
-    ) -> peer_messages.ReadBound | outcomes.Outcome:
-        """Return the lowest position that a read of this session must see."""
-        group = statement.group.name
-        if group not in self._bounded_groups:
-            last = await self._fetch_primary_position(statement)
-            if not isinstance(last, outcomes.Done):
-                return last
-            self._bounded_groups.add(group)
-        while True:
-            bound = read_bounds.current_bound(
-                self._bounds.bound(group), self._fleet.record(group)
-            )
-            if bound is not None:
-                return bound
-            if not await self._deliverer.wait_for_change(statement):
-                return refusals.unknown_primary()
-
-    async def _fetch_primary_position(
-        self, statement: caller_statement.Statement
-    ) -> outcomes.Outcome:
-        """Set the bound of a session without a token to the primary's position.
-
-        The caller may have written through another entry instance before.
-        """
-        message = dataclasses.replace(
-            statement.message(),
-            action='position',
-            sql='',
-            durability=sets.Durability.local,
-        )
-        while True:
-            last: outcomes.Outcome = refusals.unknown_primary()
-            late = False
-            async for part in self._deliverer.run_on_primary(
-                statement, message
-            ):
-                if isinstance(part, caller_connection.CloseConnection):
-                    late = True
-                    last = refusals.no_holder(part.message)
-                elif isinstance(part, delivery.FINAL_OUTCOMES):
-                    last = part
-            # A position that arrived too late has no effect and is requested
-            # again.
-            if not late or not await self._deliverer.wait_for_change(statement):
-                break
-        if isinstance(last, outcomes.Done) and last.position is not None:
-            self._advance_bound(last.position)
-        return last
-
 
 _REFUSED_IN_TRANSACTION = frozenset(
     (
