Tell a caller whose connection gives way to another one

Its place went to another caller, as intended, but without the refusal that others get.

It gets the same BUSY before it is closed. The new test failed before: the connection ended without a line.

--- a/celeryrelay/adapters/connection_guard.py
+++ b/celeryrelay/adapters/connection_guard.py
@@ -23,6 +23,7 @@
         limit: int,
         memory: input_memory.InputMemory,
         count_event: CountEvent,
+        refusal: bytes = b'',
     ) -> None:
         """Admit `limit` connections at a time.
 
@@ -31,11 +32,13 @@
             limit: Most open connections.
             memory: Memory of the connections of all listeners.
             count_event: Counts an event of a kind.
+            refusal: Sent to a silent connection before it is closed.
         """
         self._name = name
         self._limit = limit
         self._memory = memory
         self._count_event = count_event
+        self._refusal = refusal
         self._connections = connection_limits.ConnectionLimit(limit)
         self._refused = 0
         self._silent = 0
@@ -118,4 +121,8 @@
     def _close_silent(self, transport: asyncio.Transport) -> None:
         self._silent += 1
         self._count_event('{0}_silent'.format(self._name))
-        transport.abort()
+        if self._refusal:
+            transport.write(self._refusal)
+            transport.close()
+        else:
+            transport.abort()
--- a/celeryrelay/platform/callers.py
+++ b/celeryrelay/platform/callers.py
@@ -275,7 +275,7 @@
         """
         self._phase = _Phase.refused
         self._guard.linger(transport)
-        self._write(line_protocol.format_refusal(_too_many_connections()))
+        self._write(format_refusal_at_limit())
         loop = asyncio.get_running_loop()
         loop.call_later(REFUSED_LINGER_S, transport.abort)
 
@@ -292,12 +292,14 @@
     return outcomes.NotRun(outcomes.Reason.malformed, problem)
 
 
-def _too_many_connections() -> outcomes.NotRun:
-    return outcomes.NotRun(
+def format_refusal_at_limit() -> bytes:
+    """Return the refusal of a connection beyond the limit."""
+    refusal = outcomes.NotRun(
         outcomes.Reason.overload,
         'the daemon has as many connections as it may have',
         retry_after_ms=1000,
     )
+    return line_protocol.format_refusal(refusal)
 
 
 async def listen(
--- a/celeryrelay/platform/process.py
+++ b/celeryrelay/platform/process.py
@@ -141,7 +141,11 @@
                 callers.listen,
                 self._application.sessions,
                 options.caller_address,
-                self._guard('callers', budget.callers),
+                self._guard(
+                    'callers',
+                    budget.callers,
+                    callers.format_refusal_at_limit(),
+                ),
             ),
         )
         await opened.add_optional(
@@ -163,10 +167,12 @@
         )
         return callers_listener
 
-    def _guard(self, name: str, limit: int) -> connection_guard.ConnectionGuard:
+    def _guard(
+        self, name: str, limit: int, refusal: bytes = b''
+    ) -> connection_guard.ConnectionGuard:
         count_event = self._application.shared.metrics.event
         return connection_guard.ConnectionGuard(
-            name, limit, self._input_memory, count_event
+            name, limit, self._input_memory, count_event, refusal
         )
 
     def _render_metrics(self) -> bytes:
--- a/tests/gateway/test_descriptors_site.py
+++ b/tests/gateway/test_descriptors_site.py
@@ -99,3 +99,16 @@
 
 def set_soft_limit(pid, limit):
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, DESCRIPTORS))
+
+
+async def test_caller_that_speaks_late_is_told_that_it_lost_its_place(site):
+    """Guards against a caller that is closed without a reason."""
+    (daemon,) = site.daemons
+    reader, _ = await asyncio.open_connection('127.0.0.1', daemon.port)
+    await asyncio.sleep(0.7)
+    opened = [clients.Client(daemon.port) for _ in range(CONNECTIONS)]
+    await asyncio.gather(*(one.open_session('bookings') for one in opened))
+    async with asyncio.timeout(2):
+        assert (await reader.readline()).startswith(b'ERR BUSY ')
+    for one in opened:
+        one.close()
