--- a/tests/management/test_build.py
+++ b/tests/management/test_build.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import subprocess
+import sys
 
 import pytest
 
@@ -12,6 +13,7 @@
 case "$*" in
     *pip*) mkdir -p "$6"; sleep 0.1; touch "$6/$(cat machine)" ;;
     *sysconfig*) cat machine ;;
+    *fcntl*) exec {0} "$@" ;;
 esac
 """
 
@@ -23,7 +25,7 @@
     (tmp_path / 'bin').mkdir()
     shutil.copy(DEPLOY / 'requirements.txt', tmp_path / 'deploy')
     python = tmp_path / 'bin' / 'python3'
-    python.write_text(PYTHON)
+    python.write_text(PYTHON.format(sys.executable))
     python.chmod(0o755)
 
     def run(machine, processes=1):
@@ -66,4 +68,4 @@
 def test_builds_at_the_same_time_do_not_disturb_each_other(build, tmp_path):
     """Guards against a folder into which two installations were mixed."""
     assert build('arm64', processes=4) == {'arm64'}
-    assert os.listdir(tmp_path / 'target') == ['deps']
+    assert set(os.listdir(tmp_path / 'target')) == {'deps', '.lock'}
