--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -77,6 +77,9 @@
         self.history = []
         self.leases = {}
         self.gates = {}
+        # Callers of which the answer to the next watch is lost. The connection
+        # returns nothing further then.
+        self.lose_watch = set()
         self.orders = []
         self.fences = {}
         self.on_promote = None
@@ -171,6 +174,10 @@
                 status, answer = await self._answer(
                     caller, method, path, fields, document, headers
                 )
+                if path.endswith('/kv-watch') and caller in self.lose_watch:
+                    self.lose_watch.discard(caller)
+                    await reader.read()
+                    return
                 content = json.dumps(answer).encode()
                 writer.write(
                     f'HTTP/1.1 {status} x\r\n'
@@ -822,7 +829,7 @@
         self.store = Store()
         self.group = Group(record, **group)
         self.daemons = []
-        self._count = daemons
+        self._numbers = range(daemons) if isinstance(daemons, int) else daemons
         self._tenants = tenants
         self._extra = extra
         self._directory = tempfile.TemporaryDirectory(prefix='review-2-')
@@ -832,7 +839,7 @@
         self.store.put('op/config', configuration(self.group, self._tenants))
         directory = pathlib.Path(self._directory.name)
         await self.group.start(self.store)
-        for number in range(self._count):
+        for number in self._numbers:
             name = f'front-{number}'
             address = await self.store.listen(name)
             self.daemons.append(
@@ -840,6 +847,16 @@
             )
         await asyncio.gather(*(one.start() for one in self.daemons))
 
+    async def add(self, number):
+        """Start one more daemon and return it."""
+        name = f'front-{number}'
+        address = await self.store.listen(name)
+        directory = pathlib.Path(self._directory.name)
+        added = Daemon(name, directory, address, ZONES[number % 3], self._extra)
+        self.daemons.append(added)
+        await added.start()
+        return added
+
     async def stop(self):
         """End the daemons and close the stand-ins."""
         await asyncio.gather(*(one.stop() for one in self.daemons))
