--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -624,7 +624,9 @@
         """Write the settings file."""
         self.name = name
         self.zone = zone
-        front, ready, control, metrics, link = free_ports(5)
+        front, ready, control, *internal = free_ports(5)
+        # The last internal port is the one for links.
+        metrics, link = sorted(internal)
         self.front, self.ready_port, self._metrics = front, ready, metrics
         self.process = None
         self._log_path = directory / f'{name}.log'
@@ -641,7 +643,7 @@
             'listen.front': f'{HOST}:{front}',
             'listen.ready': f'{HOST}:{ready}',
             'listen.control': f'{HOST}:{control}',
-            'internal_ports': f'{min(metrics, link)},{max(metrics, link)}',
+            'internal_ports': f'{metrics},{link}',
             'bootstrap': 'true',
             'loss_counts': 'false',
             'limits.cpu_share': '0.537',
